--- /dev/null
+++ b/bergamotwind-admission/src/main/kotlin/dev/bergamotwind/admission/Probe.kt
@@ -0,0 +1,4 @@
+package dev.bergamotwind.admission
+
+/** Placeholder. */
+public object Probe
--- /dev/null
+++ b/bergamotwind-api/src/main/kotlin/dev/bergamotwind/api/Probe.kt
@@ -0,0 +1,4 @@
+package dev.bergamotwind.api
+
+/** Placeholder. */
+public object Probe
--- /dev/null
+++ b/bergamotwind-cli/src/main/kotlin/dev/bergamotwind/cli/Probe.kt
@@ -0,0 +1,4 @@
+package dev.bergamotwind.cli
+
+/** Placeholder. */
+public object Probe
--- /dev/null
+++ b/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/Probe.kt
@@ -0,0 +1,4 @@
+package dev.bergamotwind.configuration
+
+/** Placeholder. */
+public object Probe
--- /dev/null
+++ b/bergamotwind-configuration/src/test/kotlin/dev/bergamotwind/configuration/ProbeSpec.kt
@@ -0,0 +1,10 @@
+package dev.bergamotwind.configuration
+
+import org.junit.jupiter.api.Test
+
+class ProbeSpec {
+    @Test
+    fun `runs`() {
+        check(Probe.toString().isNotEmpty())
+    }
+}
--- /dev/null
+++ b/bergamotwind-core/src/main/kotlin/dev/bergamotwind/core/Probe.kt
@@ -0,0 +1,4 @@
+package dev.bergamotwind.core
+
+/** Placeholder. */
+public object Probe
--- /dev/null
+++ b/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/Probe.kt
@@ -0,0 +1,4 @@
+package dev.bergamotwind.membership
+
+/** Placeholder. */
+public object Probe
--- /dev/null
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/Probe.kt
@@ -0,0 +1,4 @@
+package dev.bergamotwind.node
+
+/** Placeholder. */
+public object Probe
--- /dev/null
+++ b/bergamotwind-placement/src/main/kotlin/dev/bergamotwind/placement/Probe.kt
@@ -0,0 +1,4 @@
+package dev.bergamotwind.placement
+
+/** Placeholder. */
+public object Probe
--- /dev/null
+++ b/bergamotwind-platform/src/main/kotlin/dev/bergamotwind/platform/Probe.kt
@@ -0,0 +1,4 @@
+package dev.bergamotwind.platform
+
+/** Placeholder. */
+public object Probe
--- /dev/null
+++ b/bergamotwind-replay/src/main/kotlin/dev/bergamotwind/replay/Probe.kt
@@ -0,0 +1,4 @@
+package dev.bergamotwind.replay
+
+/** Placeholder. */
+public object Probe
--- /dev/null
+++ b/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/Probe.kt
@@ -0,0 +1,4 @@
+package dev.bergamotwind.routing
+
+/** Placeholder. */
+public object Probe
--- /dev/null
+++ b/bergamotwind-test/src/main/kotlin/dev/bergamotwind/test/Probe.kt
@@ -0,0 +1,4 @@
+package dev.bergamotwind.test
+
+/** Placeholder. */
+public object Probe
