--- /dev/null
+++ b/bergamotwind-api/src/main/kotlin/dev/bergamotwind/api/EngineOrder.kt
@@ -0,0 +1,18 @@
+package dev.bergamotwind.api
+
+import kotlinx.serialization.Serializable
+
+/**
+ * An order to an engine. [number] grows with each order to the same target and comes from its memory ledger;
+ * [fencing] is the ownership under which the order was given.
+ */
+@Serializable
+public data class EngineOrder(
+    val target: TargetId,
+    val number: Long,
+    val fencing: FencingNumber,
+    val action: EngineAction,
+    val artifact: Artifact? = null,
+    val memory: Mebibytes = Mebibytes(0),
+    val role: EngineRole? = null,
+)
--- a/bergamotwind-api/src/main/kotlin/dev/bergamotwind/api/Probe.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-package dev.bergamotwind.api
-
-/** Placeholder. */
-public object Probe
--- a/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/Probe.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-package dev.bergamotwind.configuration
-
-/** Placeholder. */
-public object Probe
--- /dev/null
+++ b/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/Route.kt
@@ -0,0 +1,8 @@
+package dev.bergamotwind.configuration
+
+import dev.bergamotwind.api.RouteId
+import kotlinx.serialization.Serializable
+
+/** A route to a plain service. An [open] route needs no key; calls on an [idempotent] route may be repeated. */
+@Serializable
+public data class Route(val id: RouteId, val open: Boolean = false, val idempotent: Boolean = false)
--- a/bergamotwind-core/src/main/kotlin/dev/bergamotwind/core/Probe.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-package dev.bergamotwind.core
-
-/** Placeholder. */
-public object Probe
--- /dev/null
+++ b/bergamotwind-test/src/main/kotlin/dev/bergamotwind/test/KeyValueFaults.kt
@@ -0,0 +1,12 @@
+package dev.bergamotwind.test
+
+/** Faults that a test switches on for one client of an [InMemoryKeyValueService]. */
+public class KeyValueFaults {
+    /** When false, every call fails without effect. */
+    @Volatile
+    public var available: Boolean = true
+
+    /** Decides for each write whether its answer is lost after the write took effect. */
+    @Volatile
+    public var loseAnswer: () -> Boolean = { false }
+}
--- a/bergamotwind-test/src/main/kotlin/dev/bergamotwind/test/Probe.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-package dev.bergamotwind.test
-
-/** Placeholder. */
-public object Probe
