--- /dev/null
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CompletionRequest.kt
@@ -0,0 +1,78 @@
+package dev.bergamotwind.node
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import dev.bergamotwind.api.AdapterId
+import dev.bergamotwind.api.Failure
+import dev.bergamotwind.api.ModelId
+import dev.bergamotwind.api.Tokens
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.booleanOrNull
+import kotlinx.serialization.json.contentOrNull
+import kotlinx.serialization.json.intOrNull
+
+/** A completion request as far as the node needs to understand it; [body] goes to the engine as it is. */
+internal data class CompletionRequest(
+    val body: JsonObject,
+    val model: ModelId,
+    val adapter: AdapterId?,
+    val stream: Boolean,
+    val maximumTokens: Int,
+    val promptBytes: Int,
+) {
+    /** Upper estimate of the tokens that the request uses, prompt and answer. */
+    val estimatedTokens: Tokens get() = Tokens((promptBytes / BYTES_PER_TOKEN + 1 + maximumTokens).toLong())
+
+    internal companion object {
+        /** Parses the body of `/v1/chat/completions` if [chat], else of `/v1/completions`. */
+        fun parse(text: String, chat: Boolean): Either<Failure, CompletionRequest> {
+            val body = try {
+                Json.parseToJsonElement(text) as? JsonObject
+            } catch (failure: SerializationException) {
+                return invalid("the body is not JSON: ${failure.message?.lineSequence()?.first()}")
+            } ?: return invalid("the body is not a JSON object")
+            val name = (body["model"] as? JsonPrimitive)?.takeIf { it.isString }?.content
+            val limit = (body["max_tokens"] ?: body["max_completion_tokens"] ?: JsonPrimitive(DEFAULT_MAXIMUM_TOKENS))
+            val maximumTokens = (limit as? JsonPrimitive)?.intOrNull
+            return when {
+                name.isNullOrBlank() -> invalid("the field 'model' is missing")
+
+                maximumTokens == null || maximumTokens <= 0 -> invalid(
+                    "the field 'max_tokens' is not a positive number",
+                )
+
+                !hasPrompt(body, chat) -> invalid("the field '${if (chat) "messages" else "prompt"}' is missing")
+
+                else -> CompletionRequest(
+                    withMaximum(body, maximumTokens),
+                    ModelId(name.substringBefore(':')),
+                    name.substringAfter(':', "").ifEmpty { null }?.let(::AdapterId),
+                    (body["stream"] as? JsonPrimitive)?.booleanOrNull ?: false,
+                    maximumTokens,
+                    text.length,
+                ).right()
+            }
+        }
+
+        // The engine must not generate more than was reserved, so the limit is always stated.
+        private fun withMaximum(body: JsonObject, maximumTokens: Int): JsonObject =
+            JsonObject(body + ("max_tokens" to JsonPrimitive(maximumTokens)))
+
+        private fun hasPrompt(body: JsonObject, chat: Boolean): Boolean = if (chat) {
+            (body["messages"] as? JsonArray)?.let { it.isNotEmpty() && it.all(::isMessage) } ?: false
+        } else {
+            (body["prompt"] as? JsonPrimitive)?.contentOrNull != null
+        }
+
+        private fun isMessage(element: Any): Boolean =
+            element is JsonObject && element["role"] is JsonPrimitive && element["content"] is JsonPrimitive
+
+        private fun invalid(message: String) =
+            Failure.Invalid(message, "Send a request as the OpenAI completions API describes it.").left()
+    }
+}
--- /dev/null
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/ErrorResponses.kt
@@ -0,0 +1,33 @@
+package dev.bergamotwind.node
+
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpHeaderNames
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.ResponseHeaders
+import dev.bergamotwind.api.Failure
+import dev.bergamotwind.api.RequestId
+import dev.bergamotwind.api.RunOutcome
+import kotlinx.serialization.json.Json
+import kotlin.math.ceil
+import kotlin.time.DurationUnit
+
+/** Renders failures as HTTP answers. */
+internal object ErrorResponses {
+    /** Answer for [failure]; [run] overrides what the failure itself knows about execution. */
+    fun of(failure: Failure, request: RequestId? = null, run: RunOutcome = failure.run): HttpResponse {
+        val headers = ResponseHeaders.builder(HttpStatus.valueOf(failure.status)).contentType(MediaType.JSON)
+        failure.retryAfter?.let {
+            headers.add(
+                HttpHeaderNames.RETRY_AFTER,
+                ceil(it.toDouble(DurationUnit.SECONDS)).toLong().coerceAtLeast(1).toString(),
+            )
+        }
+        request?.let { headers.add("x-request-id", it.value) }
+        return HttpResponse.of(headers.build(), HttpData.ofUtf8(json(failure, run)))
+    }
+
+    /** The error body as JSON. */
+    fun json(failure: Failure, run: RunOutcome = failure.run): String = Json.encodeToString(ErrorBody.of(failure, run))
+}
--- /dev/null
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/ForwardedHeaders.kt
@@ -0,0 +1,46 @@
+package dev.bergamotwind.node
+
+import com.linecorp.armeria.common.HttpHeaderNames
+import com.linecorp.armeria.common.RequestHeaders
+import com.linecorp.armeria.common.RequestHeadersBuilder
+import com.linecorp.armeria.common.ResponseHeaders
+import com.linecorp.armeria.common.ResponseHeadersBuilder
+import dev.bergamotwind.api.RequestId
+import io.netty.util.AsciiString
+
+/** Decides which headers cross between callers and targets. An allow list: an unknown header may hold a credential. */
+internal object ForwardedHeaders {
+    private val request: Set<AsciiString> = setOf(
+        HttpHeaderNames.ACCEPT,
+        HttpHeaderNames.ACCEPT_LANGUAGE,
+        HttpHeaderNames.CONTENT_TYPE,
+        HttpHeaderNames.IF_MATCH,
+        HttpHeaderNames.IF_NONE_MATCH,
+        AsciiString.cached("idempotency-key"),
+    )
+
+    private val response: Set<AsciiString> = setOf(
+        HttpHeaderNames.CONTENT_TYPE,
+        HttpHeaderNames.CACHE_CONTROL,
+        HttpHeaderNames.ETAG,
+        HttpHeaderNames.LAST_MODIFIED,
+        HttpHeaderNames.LOCATION,
+    )
+
+    /** Headers for a target: [path], the allowed headers of [received] that do not contain [credential], our ids. */
+    fun toTarget(received: RequestHeaders, path: String, id: RequestId, credential: String?): RequestHeaders {
+        val builder: RequestHeadersBuilder = RequestHeaders.builder(received.method(), path)
+        for (name in request) {
+            received.getAll(name).filterNot { credential != null && it.contains(credential) }
+                .forEach { builder.add(name, it) }
+        }
+        return builder.add("x-request-id", id.value).build()
+    }
+
+    /** Headers for the caller. */
+    fun toCaller(received: ResponseHeaders, id: RequestId): ResponseHeaders {
+        val builder: ResponseHeadersBuilder = ResponseHeaders.builder(received.status())
+        for (name in response) received.getAll(name).forEach { builder.add(name, it) }
+        return builder.add("x-request-id", id.value).build()
+    }
+}
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/Probe.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-package dev.bergamotwind.node
-
-/** Placeholder. */
-public object Probe
