--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/ErrorResponses.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/ErrorResponses.kt
@@ -9,7 +9,9 @@
 import dev.bergamotwind.api.Failure
 import dev.bergamotwind.api.RequestId
 import dev.bergamotwind.api.RunOutcome
-import kotlinx.serialization.json.Json
+import dev.bergamotwind.configuration.ConfigurationJson
+import dev.bergamotwind.configuration.ErrorAnswer
+import dev.bergamotwind.configuration.ErrorBody
 import kotlin.math.ceil
 import kotlin.time.DurationUnit
 
@@ -29,5 +31,8 @@
     }
 
     /** The error body as JSON. */
-    fun json(failure: Failure, run: RunOutcome = failure.run): String = Json.encodeToString(ErrorBody.of(failure, run))
+    fun json(failure: Failure, run: RunOutcome = failure.run): String {
+        val body = ErrorAnswer(ErrorBody(failure.code, failure.message, failure.remedy, run))
+        return ConfigurationJson.encodeToString(body)
+    }
 }
--- /dev/null
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/NodeStatus.kt
@@ -0,0 +1,22 @@
+package dev.bergamotwind.node
+
+import dev.bergamotwind.api.FailureDomainId
+import dev.bergamotwind.api.VmId
+import kotlinx.serialization.Serializable
+
+/** What a node says about itself to operators. Durations are in milliseconds, -1 when unknown. */
+@Serializable
+internal data class NodeStatus(
+    val vm: VmId,
+    val failureDomain: FailureDomainId,
+    val state: String,
+    val revision: Long,
+    val freshnessMillis: Long,
+    val activeRequests: Int,
+    val queuedRequests: Int,
+    val rateSlot: Int?,
+    val placementOwner: Boolean,
+    val invariantViolations: Map<String, Long>,
+    val peers: List<PeerStatus>,
+    val targets: List<TargetStatus>,
+)
--- /dev/null
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PeerStatus.kt
@@ -0,0 +1,8 @@
+package dev.bergamotwind.node
+
+import dev.bergamotwind.api.VmId
+import kotlinx.serialization.Serializable
+
+/** What a node knows about a peer. Tells operators on which nodes a revision is in effect. */
+@Serializable
+internal data class PeerStatus(val vm: VmId, val revision: Long, val lastContactMillis: Long, val draining: Boolean)
