--- a/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/ConfigurationEdit.kt
+++ b/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/ConfigurationEdit.kt
@@ -1,6 +1,7 @@
 package dev.bergamotwind.configuration
 
 import dev.bergamotwind.api.AdapterId
+import dev.bergamotwind.api.FailureDomainId
 import dev.bergamotwind.api.KeyDigest
 import dev.bergamotwind.api.ModelId
 import dev.bergamotwind.api.RouteId
@@ -12,6 +13,10 @@
 /** One edit of the operator configuration. Putting replaces the item with the same id. */
 @Serializable
 public sealed interface ConfigurationEdit {
+    /** An edit that takes an item away. */
+    @Serializable
+    public sealed interface Removal : ConfigurationEdit
+
     /** Sets the number of floor shares of each team's rate. */
     @Serializable
     @SerialName("set_entry_slots")
@@ -22,6 +27,11 @@
     @SerialName("put_failure_domain")
     public data class PutFailureDomain(val failureDomain: FailureDomain) : ConfigurationEdit
 
+    /** Removes a failure domain that no target is in. */
+    @Serializable
+    @SerialName("remove_failure_domain")
+    public data class RemoveFailureDomain(val id: FailureDomainId) : Removal
+
     /** Adds or replaces a team. */
     @Serializable
     @SerialName("put_team")
@@ -30,7 +40,7 @@
     /** Removes a team and revokes its keys. */
     @Serializable
     @SerialName("remove_team")
-    public data class RemoveTeam(val id: TeamId) : ConfigurationEdit
+    public data class RemoveTeam(val id: TeamId) : Removal
 
     /** Adds a key to a team. */
     @Serializable
@@ -40,37 +50,37 @@
     /** Revokes a key. */
     @Serializable
     @SerialName("revoke_key")
-    public data class RevokeKey(val digest: KeyDigest) : ConfigurationEdit
+    public data class RevokeKey(val digest: KeyDigest) : Removal
 
     /** Adds or replaces a model. */
     @Serializable
     @SerialName("put_model")
     public data class PutModel(val model: Model) : ConfigurationEdit
 
-    /** Removes a model that no adapter uses. */
+    /** Removes a model that no adapter and no team uses. */
     @Serializable
     @SerialName("remove_model")
-    public data class RemoveModel(val id: ModelId) : ConfigurationEdit
+    public data class RemoveModel(val id: ModelId) : Removal
 
     /** Adds or replaces an adapter. */
     @Serializable
     @SerialName("put_adapter")
     public data class PutAdapter(val adapter: Adapter) : ConfigurationEdit
 
-    /** Removes an adapter. */
+    /** Removes an adapter that no team uses. */
     @Serializable
     @SerialName("remove_adapter")
-    public data class RemoveAdapter(val id: AdapterId) : ConfigurationEdit
+    public data class RemoveAdapter(val id: AdapterId) : Removal
 
     /** Adds or replaces a route. */
     @Serializable
     @SerialName("put_route")
     public data class PutRoute(val route: Route) : ConfigurationEdit
 
-    /** Removes a route that no target serves. */
+    /** Removes a route that no target serves and no team uses. */
     @Serializable
     @SerialName("remove_route")
-    public data class RemoveRoute(val id: RouteId) : ConfigurationEdit
+    public data class RemoveRoute(val id: RouteId) : Removal
 
     /** Adds or replaces a target. */
     @Serializable
@@ -80,5 +90,5 @@
     /** Removes a target. */
     @Serializable
     @SerialName("remove_target")
-    public data class RemoveTarget(val id: TargetId) : ConfigurationEdit
+    public data class RemoveTarget(val id: TargetId) : Removal
 }
--- /dev/null
+++ b/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/ConfigurationEditor.kt
@@ -0,0 +1,81 @@
+package dev.bergamotwind.configuration
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import dev.bergamotwind.api.Failure
+
+/** Applies changes to configurations. Pure: reads no clock and no network. */
+public object ConfigurationEditor {
+    /**
+     * Validates every edit of [change] in order and applies all of them or none. Fails with [Failure.Invalid] naming
+     * every fault of the first faulty edit, or with [Failure.Conflict] when the revision does not follow.
+     */
+    public fun apply(
+        configuration: OperatorConfiguration,
+        change: ConfigurationChange,
+    ): Either<Failure, OperatorConfiguration> {
+        if (change.edits.isEmpty()) return invalid("the change has no edits").left()
+        var edited = configuration
+        for ((index, edit) in change.edits.withIndex()) {
+            val faults = EditRules.faults(edited, edit)
+            if (faults.isNotEmpty()) return invalid("edit ${index + 1}: ${faults.joinToString("; ")}").left()
+            edited = applied(edited, edit)
+        }
+        return replay(configuration, change)
+    }
+
+    /**
+     * Applies a change that the log has accepted, without validating its edits again: a node whose rules differ from
+     * those of the accepting node, as during an upgrade, must still reach the same configuration. Fails with
+     * [Failure.Conflict] when the revision is not the one that follows.
+     */
+    public fun replay(
+        configuration: OperatorConfiguration,
+        change: ConfigurationChange,
+    ): Either<Failure, OperatorConfiguration> = if (change.revision == configuration.revision.next()) {
+        change.edits.fold(configuration, ::applied).copy(revision = change.revision).right()
+    } else {
+        Failure.Conflict("revision ${change.revision} does not follow revision ${configuration.revision}").left()
+    }
+
+    private fun applied(old: OperatorConfiguration, edit: ConfigurationEdit): OperatorConfiguration = when (edit) {
+        is ConfigurationEdit.SetEntrySlots -> old.copy(entrySlots = edit.count)
+
+        is ConfigurationEdit.PutFailureDomain ->
+            old.copy(failureDomains = old.failureDomains + (edit.failureDomain.id to edit.failureDomain))
+
+        is ConfigurationEdit.PutTeam -> old.copy(teams = old.teams + (edit.team.id to edit.team))
+
+        is ConfigurationEdit.PutKey -> old.copy(keys = old.keys + (edit.key.digest to edit.key))
+
+        is ConfigurationEdit.PutModel -> old.copy(models = old.models + (edit.model.id to edit.model))
+
+        is ConfigurationEdit.PutAdapter -> old.copy(adapters = old.adapters + (edit.adapter.id to edit.adapter))
+
+        is ConfigurationEdit.PutRoute -> old.copy(routes = old.routes + (edit.route.id to edit.route))
+
+        is ConfigurationEdit.PutTarget -> old.copy(targets = old.targets + (edit.target.id to edit.target))
+
+        is ConfigurationEdit.Removal -> removed(old, edit)
+    }
+
+    private fun removed(old: OperatorConfiguration, edit: ConfigurationEdit.Removal) = when (edit) {
+        is ConfigurationEdit.RemoveFailureDomain -> old.copy(failureDomains = old.failureDomains - edit.id)
+
+        is ConfigurationEdit.RemoveTeam ->
+            old.copy(teams = old.teams - edit.id, keys = old.keys.filterValues { it.team != edit.id })
+
+        is ConfigurationEdit.RevokeKey -> old.copy(keys = old.keys - edit.digest)
+
+        is ConfigurationEdit.RemoveModel -> old.copy(models = old.models - edit.id)
+
+        is ConfigurationEdit.RemoveAdapter -> old.copy(adapters = old.adapters - edit.id)
+
+        is ConfigurationEdit.RemoveRoute -> old.copy(routes = old.routes - edit.id)
+
+        is ConfigurationEdit.RemoveTarget -> old.copy(targets = old.targets - edit.id)
+    }
+
+    private fun invalid(message: String) = Failure.Invalid(message, "Correct the edit and submit the change again.")
+}
--- /dev/null
+++ b/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/Sha256.kt
@@ -0,0 +1,14 @@
+package dev.bergamotwind.configuration
+
+import dev.bergamotwind.api.KeyDigest
+import java.security.MessageDigest
+import java.util.HexFormat
+
+/** Returns the SHA-256 digest of [key] in UTF-8. */
+public fun keyDigest(key: String): KeyDigest = KeyDigest(sha256(key))
+
+internal fun sha256(text: String): String =
+    HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray()))
+
+/** Returns the first digits of a digest, enough to recognise a key in a message. */
+public fun KeyDigest.abbreviated(): String = value.take(SHOWN_DIGEST_DIGITS)
