--- /dev/null
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/RequestSession.kt
@@ -0,0 +1,89 @@
+package dev.bergamotwind.node
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import dev.bergamotwind.admission.Access
+import dev.bergamotwind.admission.AdmissionRequest
+import dev.bergamotwind.admission.Admitted
+import dev.bergamotwind.api.Failure
+import dev.bergamotwind.api.RequestId
+import dev.bergamotwind.api.Tokens
+import dev.bergamotwind.core.EventFieldsBuilder
+import dev.bergamotwind.core.event
+import dev.bergamotwind.routing.CallOutcome
+import dev.bergamotwind.routing.RequestTracker
+import dev.bergamotwind.routing.TargetChoice
+import dev.bergamotwind.routing.TargetNeed
+import dev.bergamotwind.routing.TargetQuery
+import dev.bergamotwind.api.TargetId
+import kotlinx.coroutines.suspendCancellableCoroutine
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.nanoseconds
+
+/** One caller's request while this node works on it. */
+internal class RequestSession(
+    val id: RequestId,
+    val access: Access,
+    idempotent: Boolean,
+    private val parts: ServingParts,
+) {
+    private val startedNanos = parts.clock.monotonicNanos()
+    private val deadlineNanos = startedNanos + parts.limits.requestTimeout.inWholeNanoseconds
+
+    /** Follows whether the request has run. */
+    val tracker = RequestTracker(id, idempotent, parts.monitor)
+
+    /** Time left until the deadline, at least one millisecond. */
+    val remainingMillis: Long
+        get() = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - parts.clock.monotonicNanos()).coerceAtLeast(1)
+
+    /** Time since the request arrived. */
+    val age: Duration get() = (parts.clock.monotonicNanos() - startedNanos).nanoseconds
+
+    /** Records an event about this request. */
+    fun event(kind: String, build: EventFieldsBuilder.() -> Unit = {}) {
+        parts.recorder.event("request.$kind", id) {
+            field("team", access.team)
+            build()
+        }
+    }
+
+    /** Waits for admission within the team's rate and its turn in the queue. */
+    suspend fun admit(estimate: Tokens): Either<Failure, Admitted> {
+        tracker.queued()
+        val request = AdmissionRequest(id, access.team, estimate.value, deadlineNanos, recheck = ::recheck)
+        return suspendCancellableCoroutine { continuation ->
+            continuation.invokeOnCancellation { parts.admission.cancel(id) }
+            parts.admission.submit(request) { decision ->
+                continuation.resume(decision) { _, late, _ -> late.onRight { it.settle(0) } }
+            }
+        }
+    }
+
+    /** Checks that the key still holds and that this node may start new work. */
+    fun recheck(): Either<Failure, Unit> =
+        parts.authenticator().recheck(access, parts.applied.freshnessAge(parts.clock.monotonicNanos()))
+
+    /** Selects a target for [need] other than those already [tried]. */
+    fun select(need: TargetNeed, prefixHash: String?, tried: Set<TargetId>): Either<Failure, TargetChoice> =
+        parts.selector.select(TargetQuery(need, parts.failureDomain, parts.region, prefixHash, tried))
+
+    /** Notes that an attempt at [choice] begins; false if it must not be sent. */
+    fun beginAttempt(choice: TargetChoice): Either<Failure, Unit> {
+        if (!tracker.sending()) return Failure.Conflict("request $id must not be sent again").left()
+        parts.table.started(choice.target.id)
+        event("sent") { field("target", choice.target.id) }
+        return Unit.right()
+    }
+
+    /** Notes that the attempt at [target] ended. */
+    fun endAttempt(target: TargetId, outcome: CallOutcome) {
+        parts.table.finished(target, outcome)
+        event("attempt_ended") {
+            field("target", target)
+            field("outcome", outcome.name.lowercase())
+        }
+    }
+}
