--- a/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/Probe.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-package dev.bergamotwind.routing
-
-/** Placeholder. */
-public object Probe
--- /dev/null
+++ b/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/RequestState.kt
@@ -0,0 +1,43 @@
+package dev.bergamotwind.routing
+
+import dev.bergamotwind.api.RunOutcome
+
+/** A state of `request.toml` with the run outcome that holds in it. */
+public enum class RequestState(
+    /** What is known about the execution in this state. */
+    public val outcome: RunOutcome,
+) {
+    /** Accepted from the caller. */
+    RECEIVED(RunOutcome.NOT_RUN),
+
+    /** Waits in the fair queue. */
+    QUEUED(RunOutcome.NOT_RUN),
+
+    /** Holds a claim, and nothing has been sent. */
+    CLAIMED(RunOutcome.NOT_RUN),
+
+    /** A byte may have left for a target. */
+    SENDING(RunOutcome.UNKNOWN),
+
+    /** A target has begun to answer. */
+    ANSWERING(RunOutcome.RUN),
+
+    /** Ended without being sent. */
+    REFUSED(RunOutcome.NOT_RUN),
+
+    /** Ended after it may have been sent, without any answer. */
+    UNKNOWN(RunOutcome.UNKNOWN),
+
+    /** Ended with the whole answer. */
+    ANSWERED(RunOutcome.RUN),
+
+    /** Ended after a part of the answer. */
+    INTERRUPTED(RunOutcome.RUN),
+    ;
+
+    internal companion object {
+        private val byName = entries.associateBy { it.name.lowercase() }
+
+        fun named(name: String): RequestState = byName.getValue(name)
+    }
+}
