Add claims that keep a non-idempotent call from running twice

A repeat with the same Idempotency-Key could reach another node. A claim record, created only if absent, is never taken over; lost responses are settled by reading back, and writes that fail are repeated by maintain(). A presence record under a short lease only chooses between the answers in_progress and unknown.

--- /dev/null
+++ b/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/Defaults.kt
@@ -0,0 +1,106 @@
+package dev.bergamotwind.routing
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/** Greatest body that a claim record keeps; as base64 with the other fields it stays well under the 1 MB of a value. */
+public const val RECORDED_BODY_LIMIT_BYTES: Int = 256 * 1024
+
+/** Longest accepted Idempotency-Key. */
+public const val IDEMPOTENCY_KEY_LIMIT_CHARACTERS: Int = 255
+
+/** Time for which one lease is attached to new claim records, so that a process holds about one lease an hour. */
+public val CLAIM_LEASE_SHARING: Duration = 1.hours
+
+/** Time to live of a claim lease: 24 h of retention, the sharing time, and a margin for clocks of different rate. */
+public val CLAIM_LEASE_TIME_TO_LIVE: Duration = 25.hours + 10.minutes
+
+/** A claim not used for this long is not sent any more; far below the retention of its record. */
+public val MAXIMUM_CLAIM_AGE_BEFORE_SEND: Duration = 10.minutes
+
+/** Time to live of the record that shows a claiming process to be alive. */
+public val PRESENCE_TIME_TO_LIVE: Duration = 30.seconds
+
+/** Time between two keep-alives of the presence record; two may be lost. */
+public val PRESENCE_KEEP_ALIVE_INTERVAL: Duration = 10.seconds
+
+/** Least time between two attempts to write a presence record, so that an outage does not add a call to each claim. */
+public val PRESENCE_ATTEMPT_INTERVAL: Duration = 1.seconds
+
+/** A process that has made no claim for this long stops renewing its presence and costs no calls. */
+public val PRESENCE_IDLE_LIMIT: Duration = 1.hours
+
+/** Attempts to settle one write whose response was lost, within the call. */
+public const val SETTLE_ATTEMPTS: Int = 3
+
+/** Claim writes kept for a later attempt during an outage; the oldest are dropped, which repeats see as unknown. */
+public const val UNSETTLED_CLAIM_LIMIT: Int = 256
+
+/** Retry-After for a repeat whose first call is in progress. */
+public val IN_PROGRESS_RETRY_AFTER: Duration = 2.seconds
+
+/** First-token time that is assumed of a target that has not answered yet; below the goal, so that it is tried. */
+public val ASSUMED_FIRST_TOKEN: Duration = 100.milliseconds
+
+/** Share of a new first-token observation in the moving average. */
+public const val FIRST_TOKEN_WEIGHT: Double = 0.2
+
+/** Part by which each running request of a continuous batch delays the first token of the next one. */
+public const val RUNNING_REQUEST_COST: Double = 0.1
+
+/** Part by which each queued request delays the first token of the next one: it is served before. */
+public const val QUEUED_REQUEST_COST: Double = 1.0
+
+/** Time by which a load report lags; own requests started within it are not yet part of the report. */
+public val REPORT_LAG: Duration = 500.milliseconds
+
+/** Own starts and ends per target that are kept to correct its lagging report. */
+public const val LOAD_CORRECTION_LIMIT: Int = 256
+
+/** After this time without an accepted report, one with an older time stamp is accepted: the target's clock was set. */
+public val REPORT_ORDER_LIMIT: Duration = 10.seconds
+
+/** What a warm prefix saves: the prefill of a prompt of some hundred tokens. */
+public val WARM_PREFIX_BONUS: Duration = 80.milliseconds
+
+/** Bonus for the target to which a prefix hashes, so that repeats meet before the lagging cache events arrive. */
+public val HOME_PREFIX_BONUS: Duration = 40.milliseconds
+
+/** A target above this multiple of the mean load gets no prefix bonus. */
+public const val PREFIX_LOAD_BOUND: Double = 1.25
+
+/** Time to load an adapter that is absent, below the in-flight limit beyond which loads slow down. */
+public val ADAPTER_LOAD: Duration = 20.milliseconds
+
+/** Time until an adapter that is being loaded can be used, on average. */
+public val ADAPTER_LOADING: Duration = 10.milliseconds
+
+/** Round trip to another failure domain of the same region. */
+public val SAME_REGION_DISTANCE: Duration = 3.milliseconds
+
+/** Round trip to another region (40 ms), plus 160 ms because traffic between regions is paid by volume. */
+public val OTHER_REGION_DISTANCE: Duration = 200.milliseconds
+
+/** Penalty of a suspect target. */
+public val SUSPECT_PENALTY: Duration = 200.milliseconds
+
+/** Targets whose scores differ by less than this are equal; nodes with the same reports must not all pick the same. */
+public val SCORE_TOLERANCE: Duration = 2.milliseconds
+
+/** Consecutive failures after which a target is ejected. */
+public const val EJECTION_FAILURES: Int = 3
+
+/** First ejection of a target; each further one lasts twice as long. */
+public val FIRST_EJECTION: Duration = 5.seconds
+
+/** Longest ejection. */
+public val LONGEST_EJECTION: Duration = 5.minutes
+
+/** Time for which a refusal with X-Draining or the word of a peer counts as a sign that a target is leaving. */
+public val LEAVING_SIGNAL_LIFETIME: Duration = 30.seconds
+
+/** New work may still start at a leaving target for this long: it was selected before the signal arrived. */
+public val LEAVING_GRACE: Duration = 3.seconds
