--- a/bergamotwind-api/src/main/kotlin/dev/bergamotwind/api/Failure.kt
+++ b/bergamotwind-api/src/main/kotlin/dev/bergamotwind/api/Failure.kt
@@ -119,4 +119,13 @@
         override val remedy: String
             get() = "Repeat an idempotent request; check the outcome of a non-idempotent one before repeating it."
     }
+
+    /** A target refused the request because it is leaving; nothing was executed there. */
+    public data class TargetDraining(val target: TargetId) : Failure {
+        override val code: String get() = "target_draining"
+        override val status: Int get() = 503
+        override val message: String get() = "target $target is leaving"
+        override val remedy: String get() = "Repeat after the time in Retry-After."
+        override val retryAfter: Duration get() = 1.seconds
+    }
 }
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CallerHandler.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CallerHandler.kt
@@ -12,6 +12,7 @@
 import dev.bergamotwind.api.Failure
 import dev.bergamotwind.api.KeyDigest
 import dev.bergamotwind.api.RequestId
+import dev.bergamotwind.api.RunOutcome
 import dev.bergamotwind.core.event
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CancellationException
@@ -68,9 +69,9 @@
 
     /** Refuses new work while this node is not serving. */
     protected fun readiness(): Either<Failure, Unit> = when {
-        parts.life.isServing -> Unit.right()
-        parts.life.isDraining -> Failure.Unavailable("this node is shutting down", code = "draining").left()
-        else -> Failure.Unavailable("this node is starting", code = "starting").left()
+        parts.life.isAccepting -> Unit.right()
+        parts.life.isStarting -> Failure.Unavailable("this node is starting", code = "starting").left()
+        else -> Failure.Unavailable("this node is shutting down", code = "draining").left()
     }
 
     /** Keeps [call] cancellable by the revocation of [key] while [work] runs. */
@@ -92,7 +93,7 @@
             ended(call, cancelled)
         } catch (failure: Exception) {
             logger.error(failure) { "event=request.failed request=${call.id} error=\"${failure.message}\"" }
-            call.response.fail(Failure.TargetFailed("internal error", dev.bergamotwind.api.RunOutcome.UNKNOWN))
+            call.response.fail(Failure.TargetFailed("internal error", RunOutcome.UNKNOWN))
         } finally {
             call.job.cancel()
         }
@@ -105,6 +106,6 @@
             return
         }
         parts.recorder.event("request.key_revoked", call.id)
-        call.response.fail(Failure.Unauthenticated("the key was revoked"), dev.bergamotwind.api.RunOutcome.UNKNOWN)
+        call.response.fail(Failure.Unauthenticated("the key was revoked"), RunOutcome.UNKNOWN)
     }
 }
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CallerResponse.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CallerResponse.kt
@@ -20,7 +20,7 @@
     /** Sends a whole answer. */
     fun whole(headers: ResponseHeaders, body: HttpData) {
         begin(headers)
-        if (!body.isEmpty) writer.write(body)
+        if (!body.isEmpty) writer.tryWrite(body)
         writer.close()
     }
 
@@ -28,7 +28,7 @@
     fun begin(headers: ResponseHeaders) {
         if (begun) return
         begun = true
-        writer.write(headers)
+        writer.tryWrite(headers)
     }
 
     /** Sends the head of an event stream. */
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CompletionRequest.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CompletionRequest.kt
@@ -25,10 +25,20 @@
     val maximumTokens: Int,
     val promptBytes: Int,
 ) {
+    /** Model and adapter as the caller names them. */
+    val name: String get() = if (adapter == null) model.value else "$model:$adapter"
+
+    /** Names the beginning of the prompt, which engines may hold in their prefix cache. */
+    val prefixHash: String get() = Integer.toHexString(prompt.take(PREFIX_CHARACTERS).hashCode())
+
+    private val prompt: String get() = (body["prompt"] ?: body["messages"]).toString()
+
     /** Upper estimate of the tokens that the request uses, prompt and answer. */
     val estimatedTokens: Tokens get() = Tokens((promptBytes / BYTES_PER_TOKEN + 1 + maximumTokens).toLong())
 
     internal companion object {
+        private const val PREFIX_CHARACTERS = 1024
+
         /** Parses the body of `/v1/chat/completions` if [chat], else of `/v1/completions`. */
         fun parse(text: String, chat: Boolean): Either<Failure, CompletionRequest> {
             val body = try {
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PlainServiceHandler.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PlainServiceHandler.kt
@@ -9,7 +9,6 @@
 import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpHeaderNames
 import com.linecorp.armeria.common.HttpStatus
-import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.ResponseHeaders
 import dev.bergamotwind.admission.AccessSubject
 import dev.bergamotwind.api.Failure
@@ -24,9 +23,7 @@
 import dev.bergamotwind.routing.RecordedAnswer
 import dev.bergamotwind.routing.TargetChoice
 import dev.bergamotwind.routing.TargetNeed
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.NonCancellable
-import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.withContext
 
 /** Handles calls of plain services under `/services/ROUTE/...`. */
@@ -45,8 +42,6 @@
         val session: RequestSession,
     )
 
-    private class Answer(val headers: ResponseHeaders, val body: HttpData)
-
     private suspend fun prepare(call: Call): Either<Failure, Prepared> = either {
         val authorization = call.request.headers().getAll(HttpHeaderNames.AUTHORIZATION)
         val credential = authorization.firstOrNull()?.substringAfter(' ')?.trim()?.ifEmpty { null }
@@ -65,10 +60,10 @@
     private suspend fun serve(call: Call, prepared: Prepared) {
         val session = prepared.session
         session.event("received") { field("route", prepared.route.id) }
-        val admitted = session.admit(Tokens(SERVICE_CALL_TOKENS)).getOrElseRefuse(session, call) ?: return
+        val admitted = session.admit(Tokens(SERVICE_CALL_TOKENS))
+            .fold({ return session.refuse(call.response, it) }, { it })
         try {
-            val result = claimAndSend(call, prepared)
-            result.fold({ refuse(session, call, it) }, { answer(session, call, it) })
+            claimAndSend(call, prepared).fold({ session.refuse(call.response, it) }, { session.answer(call, it) })
         } finally {
             admitted.settle(if (session.tracker.outcome == RunOutcome.NOT_RUN) 0 else SERVICE_CALL_TOKENS)
         }
@@ -78,34 +73,32 @@
         val key = call.request.headers().get("idempotency-key")
         val team = prepared.session.access.team
         if (key == null || prepared.route.idempotent) return send(prepared, null)
-        if (team == null) return Failure.Invalid("an Idempotency-Key needs a team", "Send a key, or leave it out.").left()
-        val blocking = call.context.blockingTaskExecutor().withoutContext().asCoroutineDispatcher()
-        val digest = Sha256.hex(prepared.body.method().name + " " + prepared.path + "\n" + prepared.body.contentUtf8())
-        // The claim must not be abandoned half made when the caller leaves, so it is not cancellable.
-        val outcome = withContext(NonCancellable + blocking) {
-            parts.claims.claim(team, prepared.route.id, key, digest, call.id)
+        if (team == null) {
+            return Failure.Invalid("an Idempotency-Key needs a team", "Send a key, or leave it out.").left()
         }
-        return outcome.flatMap {
-            when (it) {
-                is ClaimOutcome.AlreadyDone -> recorded(prepared.session, it.answer).right()
-
-                is ClaimOutcome.Acquired -> withContext(NonCancellable) {
-                    prepared.session.tracker.claimed()
-                    sendClaimed(prepared, it.claim)
+        val digest = Sha256.hex("${prepared.body.method()} ${prepared.path}\n${prepared.body.contentUtf8()}")
+        // Not cancellable: a claim must not be left half made, and a repeat finds the answer of a call that was sent.
+        return withContext(NonCancellable) {
+            withContext(parts.blocking) { parts.claims.claim(team, prepared.route.id, key, digest, call.id) }.flatMap {
+                when (it) {
+                    is ClaimOutcome.AlreadyDone -> recorded(prepared.session, it.answer).right()
+                    is ClaimOutcome.Acquired -> sendClaimed(prepared, it.claim)
                 }
             }
         }
     }
 
-    // Runs to its end even if the caller leaves, so that a repeat finds the recorded answer.
     private suspend fun sendClaimed(prepared: Prepared, claim: Claim): Either<Failure, Answer> {
+        prepared.session.tracker.claimed()
         val result = send(prepared, claim)
         withContext(parts.blocking) {
-            when {
-                result.isRight() -> result.onRight { parts.claims.complete(claim, it.toRecord()) }
-                prepared.session.tracker.outcome == RunOutcome.NOT_RUN -> parts.claims.release(claim)
-                else -> parts.claims.markUnknown(claim)
-            }
+            result.fold(
+                {
+                    val unsent = prepared.session.tracker.outcome == RunOutcome.NOT_RUN
+                    if (unsent) parts.claims.release(claim) else parts.claims.markUnknown(claim)
+                },
+                { parts.claims.complete(claim, it.toRecord()) },
+            )
         }
         return result
     }
@@ -113,34 +106,74 @@
     private suspend fun send(prepared: Prepared, claim: Claim?): Either<Failure, Answer> {
         val session = prepared.session
         val tried = mutableSetOf<TargetId>()
-        var last: Failure = Failure.Unavailable("no target was tried")
-        parts.retries.countCall()
+        var last: Failure? = null
         while (tried.size < MAXIMUM_ATTEMPTS) {
-            val choice = session.recheck().flatMap { session.select(TargetNeed.Service(prepared.route.id), null, tried) }
-                .fold({ return if (tried.isEmpty()) it.left() else last.left() }, { it })
+            val choice = session.recheck()
+                .flatMap { session.select(TargetNeed.Service(prepared.route.id), null, tried) }
+                .fold({ return (last ?: it).left() }, { it })
             tried += choice.target.id
-            if (claim != null && tried.size == 1) claim.beginSend().onLeft { return it.left() }
-            val outcome = attempt(prepared, choice)
-            outcome.onRight { return it.right() }
-            last = outcome.leftOrNull()!!
-            if (!prepared.route.idempotent || !parts.retries.tryRetry()) return last.left()
+            val failure = attempt(prepared, choice, claim).fold({ it }, { return it.right() })
+            if (!session.mayTryAgain(prepared.route.idempotent)) return failure.left()
+            last = failure
         }
-        return last.left()
+        return last!!.left()
     }
 
-    private suspend fun attempt(prepared: Prepared, choice: TargetChoice): Either<Failure, Answer> {
+    private suspend fun attempt(prepared: Prepared, choice: TargetChoice, claim: Claim?): Either<Failure, Answer> {
         val session = prepared.session
+        claim?.beginSend()?.onLeft { return it.left() }
         session.beginAttempt(choice).onLeft { return it.left() }
         var outcome = CallOutcome.CANCELLED
         try {
             val result = exchange(prepared, choice)
-            outcome = result.fold({ CallOutcome.FAILED }, ::outcomeOf)
+            outcome = result.fold({ CallOutcome.FAILED }, { CallOutcome.ANSWERED })
+            val refusal = result.leftOrNull()
+            if (refusal is Failure.TargetDraining) outcome = CallOutcome.DRAINING
+            if (refusal?.run == RunOutcome.NOT_RUN) {
+                session.tracker.notExecuted()
+                claim?.notExecuted()
+            }
             return result
-        } catch (cancelled: CancellationException) {
-            outcome = CallOutcome.CANCELLED
-            throw cancelled
         } finally {
             session.endAttempt(choice.target.id, outcome)
         }
     }
+
+    private suspend fun exchange(prepared: Prepared, choice: TargetChoice): Either<Failure, Answer> {
+        val session = prepared.session
+        val received = prepared.body.headers()
+        val headers = ForwardedHeaders.toTarget(received, prepared.path, session.id, prepared.credential)
+        val content = prepared.body.content()
+        return parts.client
+            .open(choice.target.address, headers, content, prepared.route.idempotent, session.remainingMillis)
+            .flatMap { answer ->
+                if (answer.isDraining) {
+                    answer.abort()
+                    Failure.TargetDraining(choice.target.id).left()
+                } else {
+                    session.tracker.answering()
+                    answer.whole(choice.target.address).map { Answer(answer.headers, it) }
+                }
+            }
+    }
+
+    private fun recorded(session: RequestSession, answer: RecordedAnswer): Answer {
+        session.event("answered_from_record")
+        val headers = ResponseHeaders.builder(HttpStatus.valueOf(answer.status))
+        answer.contentType?.let { headers.add(HttpHeaderNames.CONTENT_TYPE, it) }
+        return Answer(headers.add("idempotent-replayed", "true").build(), HttpData.wrap(answer.body() ?: ByteArray(0)))
+    }
+
+    private fun RequestSession.answer(call: Call, answer: Answer) {
+        if (tracker.outcome == RunOutcome.RUN) tracker.answered()
+        call.response.whole(ForwardedHeaders.toCaller(answer.headers, id), answer.body)
+        event("answered") { field("status", answer.headers.status().code()) }
+    }
+
+    private class Answer(val headers: ResponseHeaders, val body: HttpData) {
+        fun toRecord(): RecordedAnswer =
+            RecordedAnswer.of(headers.status().code(), headers.get(HttpHeaderNames.CONTENT_TYPE), body.array())
+    }
+
+    private fun credentialInBody() = Failure.Invalid("the body contains the caller's key", "Take the key out of the body.")
 }
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/ProcessLife.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/ProcessLife.kt
@@ -7,18 +7,21 @@
 import dev.bergamotwind.core.StateChart
 import dev.bergamotwind.core.StateMachine
 
-/** Life of this process: starting, serving, draining, stopped. */
+/** Life of this process, as `process.toml` declares it. */
 internal class ProcessLife(monitor: InvariantMonitor, private val recorder: EventRecorder) {
     private val machine = StateMachine(StateChart.ofResource(ProcessLife::class.java, "/charts/process.toml"), monitor)
 
     /** Name of the current state. */
     val state: String get() = machine.state
 
-    /** Whether new work is accepted. */
-    val isServing: Boolean get() = machine.state == "serving"
+    /** Whether the load balancer should send requests here. */
+    val isReady: Boolean get() = machine.state == "serving"
 
-    /** Whether a planned stop has begun. */
-    val isDraining: Boolean get() = machine.state == "draining" || machine.state == "stopped"
+    /** Whether new work is accepted; goes on while the load balancer has not noticed that this node is not ready. */
+    val isAccepting: Boolean get() = machine.state == "serving" || machine.state == "draining"
+
+    /** Whether this node has not yet begun to serve. */
+    val isStarting: Boolean get() = machine.state == "starting"
 
     /** Takes the transition for [event] if it is declared, and records it. */
     fun fire(event: String): Boolean {
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/RequestSession.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/RequestSession.kt
@@ -8,6 +8,7 @@
 import dev.bergamotwind.admission.Admitted
 import dev.bergamotwind.api.Failure
 import dev.bergamotwind.api.RequestId
+import dev.bergamotwind.api.RunOutcome
 import dev.bergamotwind.api.Tokens
 import dev.bergamotwind.core.EventFieldsBuilder
 import dev.bergamotwind.core.event
@@ -86,4 +87,21 @@
             field("outcome", outcome.name.lowercase())
         }
     }
+
+    /** Whether another target may be tried after a failed attempt; repeats of what may have run cost budget. */
+    fun mayTryAgain(idempotent: Boolean): Boolean = when {
+        tracker.outcome == RunOutcome.NOT_RUN -> true
+        idempotent -> parts.retries.tryTake()
+        else -> false
+    }
+
+    /** Ends the request with [failure], and says truly whether it has run. */
+    fun refuse(response: CallerResponse, failure: Failure) {
+        val reported = tracker.refused(failure)
+        event("refused") {
+            field("error", reported.code)
+            field("run", tracker.outcome.label)
+        }
+        response.fail(reported, if (reported is Failure.AlreadyClaimed) reported.run else tracker.outcome)
+    }
 }
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/ServingParts.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/ServingParts.kt
@@ -13,6 +13,7 @@
 import dev.bergamotwind.routing.RetryBudget
 import dev.bergamotwind.routing.TargetSelector
 import dev.bergamotwind.routing.TargetTable
+import kotlinx.coroutines.CoroutineDispatcher
 
 /** What the handlers of callers' requests share. */
 internal class ServingParts(
@@ -32,4 +33,6 @@
     val client: TargetClient,
     val exchanges: ActiveExchanges,
     val limits: LimitSettings,
+    /** Runs calls that block on the key-value service. */
+    val blocking: CoroutineDispatcher,
 )
--- a/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/Claim.kt
+++ b/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/Claim.kt
@@ -40,6 +40,11 @@
         return Failure.Conflict("the claim of request $request was used or released").left()
     }
 
+    /** The call sent under this claim has certainly not run, so it may be sent again or the claim released. */
+    public fun notExecuted() {
+        progress.compareAndSet(Progress.SENDING, Progress.HELD)
+    }
+
     /** Ends the claim if nothing was sent under it. */
     internal fun endUnsent(): Boolean {
         val unsent = progress.compareAndSet(Progress.HELD, Progress.ENDED)
--- a/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/RequestTracker.kt
+++ b/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/RequestTracker.kt
@@ -45,6 +45,12 @@
         return permitted && machine.fire("send")
     }
 
+    /**
+     * The last attempt has certainly not run: the transport wrote no byte of it, or the target refused it. If no other
+     * attempt was sent, the request is again one that has not run and may be sent to another target.
+     */
+    public fun notExecuted(): Boolean = sends.decrementAndGet() == 0 && machine.fire("return")
+
     /** A target has begun to answer. */
     public fun answering(): Boolean = machine.fire("answer")
 
