--- a/bergamotwind-admission/src/main/kotlin/dev/bergamotwind/admission/Probe.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-package dev.bergamotwind.admission
-
-/** Placeholder. */
-public object Probe
