--- /dev/null
+++ b/bergamotwind-admission/src/main/kotlin/dev/bergamotwind/admission/SlotLedger.kt
@@ -0,0 +1,155 @@
+package dev.bergamotwind.admission
+
+import arrow.core.getOrElse
+import dev.bergamotwind.api.Compare
+import dev.bergamotwind.api.KeyRange
+import dev.bergamotwind.api.KeyValueEntry
+import dev.bergamotwind.api.KeyValueService
+import dev.bergamotwind.api.Operation
+import dev.bergamotwind.api.Transaction
+import dev.bergamotwind.api.VirtualMachineList
+import dev.bergamotwind.api.VmId
+import kotlinx.serialization.json.Json
+
+/**
+ * Holds this VM's slot. Every record carries the divisor of its share, and the shares of all records sum up to at most
+ * one at any time:
+ *  - a share that shrinks or ends does so in the buckets first and in the record afterwards;
+ *  - a share that is taken or grows does so by a transaction on the sum that was read, guarded by a record that every
+ *    such transaction writes, and in the buckets only after the transaction is known to have been applied.
+ *
+ * So nodes that apply a new slot count at different times, or not at all while they are partitioned, never count a
+ * share twice; a share that would not fit yet stays at its old size or is not taken. A lost answer is settled by the
+ * next reading, which finds the record as it is.
+ */
+internal class SlotLedger(
+    private val service: KeyValueService,
+    private val machines: VirtualMachineList,
+    private val vm: VmId,
+    private val holder: RateShareHolder,
+) {
+    private class Slot(val number: Int, val record: SlotRecord, val entry: KeyValueEntry)
+
+    private class View(val slots: List<Slot>, val guard: KeyValueEntry?) {
+        fun sharesExcept(number: Int): Double = slots.filter { it.number != number }.sumOf { 1.0 / it.record.divisor }
+    }
+
+    private class Candidate(val number: Int, val condition: Compare)
+
+    private class Absence(val vm: String, val modifiedAt: Long, val sinceNanos: Long)
+
+    private val absences = HashMap<Int, Absence>()
+    private var heldDivisor = 0
+    private var nextCheckNanos = Long.MIN_VALUE
+    private var checkedSlots = 0
+
+    /** Reads the records when due, or when [entrySlots] has changed, and takes one step towards holding a slot. */
+    fun tick(nowNanos: Long, entrySlots: Int) {
+        if (nowNanos < nextCheckNanos && entrySlots == checkedSlots) return
+        val view = read() ?: return
+        val own = view.slots.filter { it.record.vm == vm.value }.sortedBy { it.number }
+        val kept = own.firstOrNull()?.takeIf { it.number < entrySlots }
+        val settled = if (kept == null) take(view, own, entrySlots, nowNanos) else keep(view, kept, own, entrySlots)
+        nextCheckNanos = nowNanos + if (settled) SLOT_CHECK_INTERVAL.inWholeNanoseconds else 0
+        checkedSlots = entrySlots
+    }
+
+    private fun read(): View? {
+        val guard = service.get(RateKeys.SLOT_GUARD).getOrElse { return null }
+        val entries = service.list(KeyRange(RateKeys.SLOTS)).getOrElse { return null }.entries
+        val slots = entries.mapNotNull { entry ->
+            RateKeys.number(entry.key)?.let { Slot(it, Json.decodeFromString<SlotRecord>(entry.value), entry) }
+        }
+        return View(slots, guard)
+    }
+
+    /** Follows the kept record, and gives up further ones that a late write may have left. */
+    private fun keep(view: View, kept: Slot, own: List<Slot>, entrySlots: Int): Boolean {
+        own.drop(1).forEach(::release)
+        val divisor = kept.record.divisor
+        return when {
+            divisor < entrySlots -> {
+                hold(entrySlots)
+                val record = Operation.Put(kept.entry.key, encode(entrySlots))
+                apply(Transaction(listOf(unchanged(kept.entry)), listOf(record)))
+            }
+
+            divisor > entrySlots && fits(view, kept.number, entrySlots) -> {
+                hold(divisor)
+                claim(view, unchanged(kept.entry), kept.number, entrySlots).also { if (it) hold(entrySlots) }
+            }
+
+            else -> {
+                hold(divisor)
+                true
+            }
+        }
+    }
+
+    private fun take(view: View, own: List<Slot>, entrySlots: Int, nowNanos: Long): Boolean {
+        hold(0)
+        own.forEach(::release)
+        val listed = machines.read().getOrElse { return false }.map { it.id.value }.toSet()
+        noteAbsences(view, listed, nowNanos)
+        // A VM that the list does not show yet could lose its slot to another node at once.
+        if (own.isNotEmpty() || vm.value !in listed) return false
+        val candidate = candidate(view, entrySlots, nowNanos)?.takeIf { fits(view, it.number, entrySlots) }
+            ?: return true
+        return claim(view, candidate.condition, candidate.number, entrySlots).also { if (it) hold(entrySlots) }
+    }
+
+    private fun candidate(view: View, entrySlots: Int, nowNanos: Long): Candidate? {
+        val taken = view.slots.associateBy { it.number }
+        val free = (0 until entrySlots).firstOrNull { it !in taken }
+        if (free != null) return Candidate(free, Compare.Absent(RateKeys.slot(free)))
+        val left = view.slots.firstOrNull { slot ->
+            val since = absences[slot.number]?.sinceNanos
+            since != null && nowNanos - since >= SLOT_HANDOVER_WAIT.inWholeNanoseconds && slot.number < entrySlots
+        }
+        return left?.let { Candidate(it.number, unchanged(it.entry)) }
+    }
+
+    private fun noteAbsences(view: View, listed: Set<String>, nowNanos: Long) {
+        val missing = view.slots.filter { it.record.vm !in listed }
+        absences.keys.retainAll(missing.map { it.number }.toSet())
+        for (slot in missing) {
+            val modifiedAt = slot.entry.modificationRevision.value
+            val known = absences[slot.number]
+            if (known == null || known.vm != slot.record.vm || known.modifiedAt != modifiedAt) {
+                absences[slot.number] = Absence(slot.record.vm, modifiedAt, nowNanos)
+            }
+        }
+    }
+
+    private fun fits(view: View, number: Int, divisor: Int): Boolean =
+        view.sharesExcept(number) + 1.0 / divisor <= 1 + ROUNDING
+
+    private fun claim(view: View, compare: Compare, number: Int, divisor: Int): Boolean {
+        val guard = view.guard?.let(::unchanged) ?: Compare.Absent(RateKeys.SLOT_GUARD)
+        val operations = listOf(
+            Operation.Put(RateKeys.SLOT_GUARD, vm.value),
+            Operation.Put(RateKeys.slot(number), encode(divisor)),
+        )
+        return apply(Transaction(listOf(guard, compare), operations))
+    }
+
+    private fun release(slot: Slot) {
+        apply(Transaction(listOf(unchanged(slot.entry)), listOf(Operation.Delete(slot.entry.key))))
+    }
+
+    private fun apply(transaction: Transaction): Boolean = service.transact(transaction).fold({ false }, { it.applied })
+
+    private fun hold(divisor: Int) {
+        if (divisor == heldDivisor) return
+        holder.holdSlot(divisor)
+        heldDivisor = divisor
+    }
+
+    private fun unchanged(entry: KeyValueEntry) = Compare.ModifiedAt(entry.key, entry.modificationRevision)
+
+    private fun encode(divisor: Int) = Json.encodeToString(SlotRecord(vm.value, divisor))
+
+    private companion object {
+        const val ROUNDING = 1e-9
+    }
+}
--- /dev/null
+++ b/bergamotwind-admission/src/main/kotlin/dev/bergamotwind/admission/UnitRecord.kt
@@ -0,0 +1,10 @@
+package dev.bergamotwind.admission
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Value of `rate/unit/<team>/<number>`. While [vm] holds the unit, the record has the lease of its node. A record
+ * without a lease is a returned unit with the [level] that its bucket had.
+ */
+@Serializable
+internal data class UnitRecord(val vm: String, val level: Long = 0)
