--- a/bergamotwind-api/src/main/kotlin/dev/bergamotwind/api/Failure.kt
+++ b/bergamotwind-api/src/main/kotlin/dev/bergamotwind/api/Failure.kt
@@ -29,6 +29,7 @@
         override val remedy: String,
         override val status: Int = 400,
         override val code: String = "invalid_request",
+        override val run: RunOutcome = RunOutcome.NOT_RUN,
     ) : Failure
 
     /** The caller's or operator's credential is missing, unknown or revoked. */
@@ -120,11 +121,14 @@
             get() = "Repeat an idempotent request; check the outcome of a non-idempotent one before repeating it."
     }
 
-    /** A target refused the request because it is leaving; nothing was executed there. */
-    public data class TargetDraining(val target: TargetId) : Failure {
-        override val code: String get() = "target_draining"
+    /** A target refused the request without executing any of it; [draining] if because it is leaving. */
+    public data class TargetRefused(
+        val target: TargetId,
+        val draining: Boolean,
+        override val message: String,
+    ) : Failure {
+        override val code: String get() = "target_refused"
         override val status: Int get() = 503
-        override val message: String get() = "target $target is leaving"
         override val remedy: String get() = "Repeat after the time in Retry-After."
         override val retryAfter: Duration get() = 1.seconds
     }
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CompletionHandler.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CompletionHandler.kt
@@ -1,138 +1,115 @@
 package dev.bergamotwind.node
 
 import arrow.core.Either
-import arrow.core.flatMap
-import arrow.core.left
 import arrow.core.raise.either
-import arrow.core.right
 import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpHeaderNames
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.MediaType
-import com.linecorp.armeria.common.RequestHeaders
 import com.linecorp.armeria.common.ResponseHeaders
 import dev.bergamotwind.admission.AccessSubject
 import dev.bergamotwind.api.Failure
-import dev.bergamotwind.api.RunOutcome
-import dev.bergamotwind.api.TargetId
-import dev.bergamotwind.routing.CallOutcome
-import dev.bergamotwind.routing.TargetChoice
-import dev.bergamotwind.routing.TargetNeed
-import kotlinx.serialization.json.JsonObject
+import dev.bergamotwind.configuration.sha256
+import dev.bergamotwind.core.event
+import dev.bergamotwind.routing.SharedEvent
+import dev.bergamotwind.routing.SharedRunKey
+import dev.bergamotwind.routing.SharedRuns
+import dev.bergamotwind.routing.SharedSubscription
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.launch
 
-/** Handles `/v1/chat/completions` if [chat], else `/v1/completions`. */
-internal class CompletionHandler(parts: ServingParts, private val chat: Boolean) : CallerHandler(parts) {
-    private class Prepared(val headers: RequestHeaders, val credential: String, val request: CompletionRequest, val session: RequestSession)
+/**
+ * Handles `/v1/chat/completions` if [chat], else `/v1/completions`. Callers of one team that send the same request at
+ * the same time read the answer of one run.
+ */
+internal class CompletionHandler(
+    parts: ServingParts,
+    private val runs: SharedRuns<String>,
+    private val chat: Boolean,
+) : CallerHandler(parts) {
+    private val path = if (chat) "/v1/chat/completions" else "/v1/completions"
 
     override suspend fun handle(call: Call) {
         prepare(call).fold({ call.response.fail(it) }) { prepared ->
-            whileActive(call, prepared.session.access.digest) { serve(call, prepared) }
+            whileActive(call, prepared.access.digest) { subscribe(call, prepared) }
         }
     }
 
-    private suspend fun prepare(call: Call): Either<Failure, Prepared> = either {
+    private suspend fun prepare(call: Call): Either<Failure, PreparedCompletion> = either {
         val authorization = call.request.headers().getAll(HttpHeaderNames.AUTHORIZATION)
         val freshness = parts.applied.freshnessAge(parts.clock.monotonicNanos())
         // Authenticates before the body is read, so that strangers cannot make the node hold large bodies.
         parts.authenticator().authorize(authorization, AccessSubject.OwnTeam, freshness).bind()
         readiness().bind()
         val body = body(call).bind()
+        val text = body.contentUtf8()
         val credential = authorization.first().substringAfter(' ').trim()
-        if (credential in body.contentUtf8()) {
+        if (credential in text) {
             raise(Failure.Invalid("the body contains the caller's key", "Take the key out of the body."))
         }
-        val request = CompletionRequest.parse(body.contentUtf8(), chat).bind()
-        val access = parts.authenticator()
-            .authorize(authorization, AccessSubject.NamedModel(request.name), freshness).bind()
-        Prepared(body.headers(), credential, request, RequestSession(call.id, access, idempotent = true, parts))
+        val request = CompletionRequest.parse(text, chat).bind()
+        val subject = AccessSubject.NamedModel(request.name)
+        val access = parts.authenticator().authorize(authorization, subject, freshness).bind()
+        PreparedCompletion(body.headers(), credential, request, access)
     }
 
-    private suspend fun serve(call: Call, prepared: Prepared) {
-        val session = prepared.session
-        session.event("received") { field("model", prepared.request.name) }
-        val admitted = session.admit(prepared.request.estimatedTokens)
-            .fold({ return session.refuse(call.response, it) }, { it })
-        var used = prepared.request.estimatedTokens.value
-        try {
-            val result = whole(prepared)
-            if (session.tracker.outcome == RunOutcome.NOT_RUN) used = 0
-            result.fold({ session.refuse(call.response, it) }) {
-                used = it.totalTokens ?: used
-                answer(call, session, it)
-            }
-        } finally {
-            admitted.settle(used)
+    private suspend fun subscribe(call: Call, prepared: PreparedCompletion) {
+        val available = Channel<Unit>(Channel.CONFLATED)
+        val key = SharedRunKey(prepared.access.team!!, sha256("$path\n${prepared.request.body}"))
+        runs.join(key) { available.trySend(Unit) }.use { subscription ->
+            if (subscription.isFirst) start(call, prepared, subscription) else joined(call, prepared)
+            relay(call, prepared.request.stream, subscription, available)
         }
     }
 
-    private fun answer(call: Call, session: RequestSession, completion: WholeCompletion) {
-        session.tracker.answered()
-        val headers = ResponseHeaders.builder(HttpStatus.OK).contentType(MediaType.JSON)
-            .add("x-request-id", session.id.value).build()
-        call.response.whole(headers, completion.body)
-        session.event("answered") { field("tokens", completion.totalTokens) }
+    // The run does not end with the caller that started it, since others may have joined.
+    private fun start(call: Call, prepared: PreparedCompletion, subscription: SharedSubscription<String>) {
+        val job = Job()
+        val scope = CoroutineScope(call.context.eventLoop().withoutContext().asCoroutineDispatcher() + job)
+        subscription.run.onCancel { job.cancel() }
+        scope.launch { CompletionRun(call.id, path, prepared, subscription.run, parts).execute() }
     }
 
-    private suspend fun whole(prepared: Prepared): Either<Failure, WholeCompletion> {
-        val session = prepared.session
-        val need = TargetNeed.Engine(prepared.request.model, prepared.request.adapter)
-        val tried = mutableSetOf<TargetId>()
-        var last: Failure? = null
-        while (tried.size < MAXIMUM_ATTEMPTS) {
-            val choice = session.recheck().flatMap { session.select(need, prepared.request.prefixHash, tried) }
-                .fold({ return (last ?: it).left() }, { it })
-            tried += choice.target.id
-            val failure = attempt(prepared, choice).fold({ it }, { return it.right() })
-            if (!session.mayTryAgain(idempotent = true)) return failure.left()
-            last = failure
-        }
-        return last!!.left()
+    private fun joined(call: Call, prepared: PreparedCompletion) = parts.recorder.event("request.joined", call.id) {
+        field("team", prepared.access.team)
+        field("model", prepared.request.name)
     }
 
-    private suspend fun attempt(prepared: Prepared, choice: TargetChoice): Either<Failure, WholeCompletion> {
-        val session = prepared.session
-        session.beginAttempt(choice).onLeft { return it.left() }
-        var outcome = CallOutcome.CANCELLED
-        try {
-            val result = open(prepared, choice, prepared.request.body)
-                .flatMap { answer -> answer.whole(choice.target.address) }
-                .flatMap(WholeCompletion::check)
-            outcome = outcomeOf(result)
-            if (result.leftOrNull()?.run == RunOutcome.NOT_RUN) session.tracker.notExecuted()
-            return result
-        } finally {
-            session.endAttempt(choice.target.id, outcome)
+    private suspend fun relay(
+        call: Call,
+        stream: Boolean,
+        subscription: SharedSubscription<String>,
+        available: Channel<Unit>,
+    ) {
+        while (true) {
+            when (val event = subscription.poll()) {
+                null -> available.receive()
+                is SharedEvent.Item -> deliver(call, stream, event.value)
+                is SharedEvent.Failed -> return call.response.fail(event.failure)
+                SharedEvent.End -> return finish(call, stream)
+            }
         }
     }
 
-    private suspend fun open(prepared: Prepared, choice: TargetChoice, body: JsonObject): Either<Failure, TargetAnswer> {
-        val path = if (chat) "/v1/chat/completions" else "/v1/completions"
-        val headers = ForwardedHeaders.toTarget(prepared.headers, path, prepared.session.id, prepared.credential)
-        val session = prepared.session
-        return parts.client
-            .open(choice.target.address, headers, HttpData.ofUtf8(body.toString()), true, session.remainingMillis)
-            .flatMap { accept(choice, session, it) }
-    }
-
-    private fun accept(choice: TargetChoice, session: RequestSession, answer: TargetAnswer): Either<Failure, TargetAnswer> {
-        val status = answer.headers.status()
-        if (status.isSuccess) {
-            session.tracker.answering()
-            return answer.right()
-        }
-        answer.abort()
-        val target = choice.target.id
-        return when {
-            answer.isDraining -> Failure.TargetDraining(target).left()
-            // The model was unloaded since the last report: nothing was executed.
-            status == HttpStatus.NOT_FOUND -> Failure.TargetFailed("target $target lacks the model", RunOutcome.NOT_RUN).left()
-            else -> Failure.TargetFailed("target $target answered ${status.code()}", RunOutcome.UNKNOWN).left()
+    private suspend fun deliver(call: Call, stream: Boolean, data: String) {
+        if (stream) {
+            call.response.beginEvents()
+            call.response.write("data: $data\n\n")
+        } else {
+            val headers = ResponseHeaders.builder(HttpStatus.OK).contentType(MediaType.JSON)
+                .add("x-request-id", call.id.value).build()
+            call.response.whole(headers, HttpData.ofUtf8(data))
         }
     }
 
-    private fun outcomeOf(result: Either<Failure, WholeCompletion>): CallOutcome = when (result.leftOrNull()) {
-        null -> CallOutcome.ANSWERED
-        is Failure.TargetDraining -> CallOutcome.DRAINING
-        else -> CallOutcome.FAILED
+    private suspend fun finish(call: Call, stream: Boolean) {
+        if (stream) {
+            call.response.write("data: [DONE]\n\n")
+            call.response.close()
+        }
+        parts.recorder.event("request.delivered", call.id)
     }
 }
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CompletionRequest.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CompletionRequest.kt
@@ -33,8 +33,11 @@
 
     private val prompt: String get() = (body["prompt"] ?: body["messages"]).toString()
 
+    /** Upper estimate of the tokens of the prompt. */
+    val promptTokens: Long get() = promptBytes.toLong() / BYTES_PER_TOKEN + 1
+
     /** Upper estimate of the tokens that the request uses, prompt and answer. */
-    val estimatedTokens: Tokens get() = Tokens((promptBytes / BYTES_PER_TOKEN + 1 + maximumTokens).toLong())
+    val estimatedTokens: Tokens get() = Tokens(promptTokens + maximumTokens)
 
     internal companion object {
         private const val PREFIX_CHARACTERS = 1024
--- /dev/null
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/NodeServers.kt
@@ -0,0 +1,59 @@
+package dev.bergamotwind.node
+
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.TlsKeyPair
+import com.linecorp.armeria.server.HttpService
+import com.linecorp.armeria.server.Server
+import com.linecorp.armeria.server.ServerBuilder
+import com.linecorp.armeria.server.docs.DocService
+import dev.bergamotwind.configuration.NodeSettings
+import dev.bergamotwind.routing.SharedRuns
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import java.net.InetSocketAddress
+import java.time.Duration
+
+/** Builds the HTTP servers of a node. */
+internal class NodeServers(private val settings: NodeSettings, private val parts: ServingParts) {
+    /** Server for callers and the load balancer. */
+    fun callers(): Server {
+        val runs = SharedRuns<String>({ it.length })
+        return builder(settings.listen.callerPort)
+            .maxRequestLength(settings.limits.maximumBodyBytes)
+            .service("/v1/chat/completions", CompletionHandler(parts, runs, chat = true))
+            .service("/v1/completions", CompletionHandler(parts, runs, chat = false))
+            .service("/v1/models", ModelsHandler(parts))
+            .serviceUnder("/services", PlainServiceHandler(parts))
+            .service("/health/live", HealthServices.live())
+            .service("/health/ready", HealthServices.ready(parts.life))
+            .build()
+    }
+
+    /** Server for operators. */
+    fun administration(api: AdministrationApi, registry: PrometheusMeterRegistry): Server {
+        val credential = OperatorCredential(settings.administrationCredential)
+        val metrics = HttpService { _, _ -> HttpResponse.of(MediaType.PLAIN_TEXT_UTF_8, registry.scrape()) }
+        return builder(settings.listen.administrationPort)
+            .annotatedService("/administration/v1", api, credential)
+            .service("/metrics", metrics)
+            .serviceUnder("/documentation", DocService())
+            .build()
+    }
+
+    private fun builder(port: Int): ServerBuilder {
+        val builder = Server.builder()
+            .requestTimeout(Duration.ofMillis(settings.limits.requestTimeout.inWholeMilliseconds))
+            // Requests have been finished or refused before the servers stop.
+            .gracefulShutdownTimeoutMillis(0, CLOSE_LIMIT_MILLIS)
+        for (address in settings.listen.addresses) {
+            val socket = InetSocketAddress(address, port)
+            if (settings.tls == null) builder.http(socket) else builder.https(socket)
+        }
+        settings.tls?.let { builder.tls(TlsKeyPair.of(it.key.toFile(), it.certificate.toFile())) }
+        return builder
+    }
+
+    private companion object {
+        const val CLOSE_LIMIT_MILLIS = 1_000L
+    }
+}
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/NodeStatus.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/NodeStatus.kt
@@ -14,8 +14,6 @@
     val freshnessMillis: Long,
     val activeRequests: Int,
     val queuedRequests: Int,
-    val rateSlot: Int?,
-    val placementOwner: Boolean,
     val invariantViolations: Map<String, Long>,
     val peers: List<PeerStatus>,
     val targets: List<TargetStatus>,
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PlainServiceHandler.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PlainServiceHandler.kt
@@ -16,7 +16,7 @@
 import dev.bergamotwind.api.TargetId
 import dev.bergamotwind.api.Tokens
 import dev.bergamotwind.configuration.Route
-import dev.bergamotwind.configuration.Sha256
+import dev.bergamotwind.configuration.sha256
 import dev.bergamotwind.routing.CallOutcome
 import dev.bergamotwind.routing.Claim
 import dev.bergamotwind.routing.ClaimOutcome
@@ -61,9 +61,9 @@
         val session = prepared.session
         session.event("received") { field("route", prepared.route.id) }
         val admitted = session.admit(Tokens(SERVICE_CALL_TOKENS))
-            .fold({ return session.refuse(call.response, it) }, { it })
+            .fold({ return call.response.fail(session.refused(it)) }, { it })
         try {
-            claimAndSend(call, prepared).fold({ session.refuse(call.response, it) }, { session.answer(call, it) })
+            claimAndSend(call, prepared).fold({ call.response.fail(session.refused(it)) }, { session.answer(call, it) })
         } finally {
             admitted.settle(if (session.tracker.outcome == RunOutcome.NOT_RUN) 0 else SERVICE_CALL_TOKENS)
         }
@@ -76,7 +76,7 @@
         if (team == null) {
             return Failure.Invalid("an Idempotency-Key needs a team", "Send a key, or leave it out.").left()
         }
-        val digest = Sha256.hex("${prepared.body.method()} ${prepared.path}\n${prepared.body.contentUtf8()}")
+        val digest = sha256("${prepared.body.method()} ${prepared.path}\n${prepared.body.contentUtf8()}")
         // Not cancellable: a claim must not be left half made, and a repeat finds the answer of a call that was sent.
         return withContext(NonCancellable) {
             withContext(parts.blocking) { parts.claims.claim(team, prepared.route.id, key, digest, call.id) }.flatMap {
@@ -107,6 +107,7 @@
         val session = prepared.session
         val tried = mutableSetOf<TargetId>()
         var last: Failure? = null
+        parts.retries.called()
         while (tried.size < MAXIMUM_ATTEMPTS) {
             val choice = session.recheck()
                 .flatMap { session.select(TargetNeed.Service(prepared.route.id), null, tried) }
@@ -128,7 +129,7 @@
             val result = exchange(prepared, choice)
             outcome = result.fold({ CallOutcome.FAILED }, { CallOutcome.ANSWERED })
             val refusal = result.leftOrNull()
-            if (refusal is Failure.TargetDraining) outcome = CallOutcome.DRAINING
+            if (refusal is Failure.TargetRefused) outcome = CallOutcome.DRAINING
             if (refusal?.run == RunOutcome.NOT_RUN) {
                 session.tracker.notExecuted()
                 claim?.notExecuted()
@@ -149,9 +150,9 @@
             .flatMap { answer ->
                 if (answer.isDraining) {
                     answer.abort()
-                    Failure.TargetDraining(choice.target.id).left()
+                    Failure.TargetRefused(choice.target.id, true, "target ${choice.target.id} is leaving").left()
                 } else {
-                    session.tracker.answering()
+                    session.answering(choice.target.id)
                     answer.whole(choice.target.address).map { Answer(answer.headers, it) }
                 }
             }
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/RequestSession.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/RequestSession.kt
@@ -33,6 +33,8 @@
     private val startedNanos = parts.clock.monotonicNanos()
     private val deadlineNanos = startedNanos + parts.limits.requestTimeout.inWholeNanoseconds
 
+    private var attemptNanos = startedNanos
+
     /** Follows whether the request has run. */
     val tracker = RequestTracker(id, idempotent, parts.monitor)
 
@@ -74,6 +76,7 @@
     /** Notes that an attempt at [choice] begins; false if it must not be sent. */
     fun beginAttempt(choice: TargetChoice): Either<Failure, Unit> {
         if (!tracker.sending()) return Failure.Conflict("request $id must not be sent again").left()
+        attemptNanos = parts.clock.monotonicNanos()
         parts.table.started(choice.target.id)
         event("sent") { field("target", choice.target.id) }
         return Unit.right()
@@ -91,17 +94,22 @@
     /** Whether another target may be tried after a failed attempt; repeats of what may have run cost budget. */
     fun mayTryAgain(idempotent: Boolean): Boolean = when {
         tracker.outcome == RunOutcome.NOT_RUN -> true
-        idempotent -> parts.retries.tryTake()
-        else -> false
+        else -> parts.retries.tryRetry(idempotent)
+    }
+
+    /** Notes that [target] has begun to answer. */
+    fun answering(target: TargetId) {
+        tracker.answering()
+        parts.table.firstToken(target, (parts.clock.monotonicNanos() - attemptNanos).nanoseconds)
     }
 
-    /** Ends the request with [failure], and says truly whether it has run. */
-    fun refuse(response: CallerResponse, failure: Failure) {
+    /** Ends the request with [failure]; returns the failure to report, which says truly whether it has run. */
+    fun refused(failure: Failure): Failure {
         val reported = tracker.refused(failure)
         event("refused") {
             field("error", reported.code)
             field("run", tracker.outcome.label)
         }
-        response.fail(reported, if (reported is Failure.AlreadyClaimed) reported.run else tracker.outcome)
+        return reported
     }
 }
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/TargetAnswer.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/TargetAnswer.kt
@@ -11,6 +11,8 @@
 import dev.bergamotwind.api.RunOutcome
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.catch
+import kotlinx.coroutines.flow.map
 import kotlinx.coroutines.reactive.asFlow
 import java.io.ByteArrayOutputStream
 
@@ -23,20 +25,21 @@
     /** Whether the target refuses work because it is leaving. */
     val isDraining: Boolean get() = headers.status().code() == SERVICE_UNAVAILABLE && headers.contains("x-draining")
 
-    /** The body; fails if the connection ends before it is whole. */
-    fun body(): Flow<HttpData> = body.asFlow()
+    /** The parts of the body; the last one is a failure if the connection ends before the body is whole. */
+    fun parts(address: String): Flow<Either<Failure.TargetFailed, HttpData>> = body.asFlow()
+        .map<HttpData, Either<Failure.TargetFailed, HttpData>> { it.right() }
+        .catch { failure ->
+            if (failure is CancellationException) throw failure
+            val message = "target $address broke off its answer: ${failure.message ?: failure.javaClass.simpleName}"
+            emit(Failure.TargetFailed(message, RunOutcome.RUN).left())
+        }
 
-    /** Reads the whole body; fails as run if the connection ends before it is whole. */
-    @Suppress("TooGenericExceptionCaught") // Armeria reports connection and protocol errors as many types.
-    suspend fun whole(address: String): Either<Failure.TargetFailed, HttpData> = try {
+    /** Reads the whole body. */
+    suspend fun whole(address: String): Either<Failure.TargetFailed, HttpData> {
         val bytes = ByteArrayOutputStream()
-        body().collect { bytes.writeBytes(it.array()) }
-        HttpData.wrap(bytes.toByteArray()).right()
-    } catch (cancelled: CancellationException) {
-        abort()
-        throw cancelled
-    } catch (failure: Exception) {
-        Failure.TargetFailed("target $address broke off its answer: ${failure.message}", RunOutcome.RUN).left()
+        var failure: Failure.TargetFailed? = null
+        parts(address).collect { part -> part.fold({ failure = it }, { bytes.writeBytes(it.array()) }) }
+        return failure?.left() ?: HttpData.wrap(bytes.toByteArray()).right()
     }
 
     /** Cancels the request at the target. */
