--- a/bergamotwind-test/src/main/kotlin/dev/bergamotwind/test/InMemoryKeyValueService.kt
+++ b/bergamotwind-test/src/main/kotlin/dev/bergamotwind/test/InMemoryKeyValueService.kt
@@ -17,6 +17,7 @@
 import dev.bergamotwind.api.Transaction
 import dev.bergamotwind.api.TransactionResult
 import dev.bergamotwind.api.WatchListener
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.nanoseconds
 
@@ -24,53 +25,58 @@
 public class InMemoryKeyValueService(private val clock: Clock = SystemClock) {
     private class Lease(val timeToLive: Duration, var endNanos: Long)
 
-    private data class Change(val revision: Long, val entry: KeyValueEntry)
-
-    private class Watch(val prefix: String, val listener: WatchListener)
-
     private val records = sortedMapOf<String, KeyValueEntry>()
     private val leases = mutableMapOf<LeaseId, Lease>()
-    private val history = ArrayDeque<Change>()
-    private val watches = mutableListOf<Watch>()
+    private val history = ArrayDeque<KeyValueChange>()
+    private val watches = mutableListOf<KeyValueWatch>()
     private var revision = 1L
+    private var compacted = 0L
     private var lastLease = 0L
+    private val callCount = AtomicLong()
 
     /** Number of calls so far, by all clients. */
-    @Volatile
-    public var calls: Long = 0
-        private set
+    public val calls: Long get() = callCount.get()
 
     /** Returns a view of this service that fails as [faults] say. */
     public fun client(faults: KeyValueFaults = KeyValueFaults()): KeyValueService = Client(faults)
 
+    /** Forgets the history up to the current revision, so that a watch from an older revision ends at once. */
+    @Synchronized
+    public fun compact() {
+        compacted = revision
+        history.clear()
+    }
+
     @Synchronized
     private fun get(key: String): KeyValueEntry? {
         expireLeases()
         return records[key]
     }
 
+    /** Returns the records whose key [matches], in key order or its reverse; a [limit] of 0 returns all. */
     @Synchronized
-    private fun list(range: KeyRange): KeyValueListing {
+    internal fun select(limit: Int, newestFirst: Boolean, matches: (String) -> Boolean): KeyValueListing {
         expireLeases()
-        val selected = records.tailMap(maxOf(range.from, range.prefix)).values.filter {
-            it.key.startsWith(range.prefix)
-        }
-        val ordered = if (range.newestFirst) selected.reversed() else selected
-        return KeyValueListing(if (range.limit > 0) ordered.take(range.limit) else ordered, Revision(revision))
+        val selected = records.values.filter { matches(it.key) }
+        val ordered = if (newestFirst) selected.reversed() else selected
+        return KeyValueListing(if (limit > 0) ordered.take(limit) else ordered, Revision(revision))
     }
 
-    @Synchronized
+    private fun list(range: KeyRange): KeyValueListing =
+        select(range.limit, range.newestFirst) { it.startsWith(range.prefix) && it >= range.from }
+
     private fun transact(transaction: Transaction): Either<Failure, TransactionResult> {
+        TransactionLimits.refusalOf(transaction)?.let { return it.left() }
+        return synchronized(this) { apply(transaction) }.also { deliver() }
+    }
+
+    private fun apply(transaction: Transaction): Either<Failure, TransactionResult> {
         expireLeases()
         if (!transaction.compares.all(::holds)) return TransactionResult(false, Revision(revision)).right()
         val missing = transaction.operations.filterIsInstance<Operation.Put>().mapNotNull { it.lease }
             .firstOrNull { it !in leases }
         if (missing != null) return Failure.LeaseExpired(missing).left()
-        revision++
-        val written = transaction.operations.mapNotNull(::perform)
-        for (watch in watches) {
-            written.filter { it.key.startsWith(watch.prefix) }.takeIf { it.isNotEmpty() }?.let(watch.listener::written)
-        }
+        commit(transaction.operations.filter { it is Operation.Put || it.key in records })
         return TransactionResult(true, Revision(revision)).right()
     }
 
@@ -80,6 +86,15 @@
         is Compare.CreatedAt -> records[compare.key]?.createRevision == compare.revision
     }
 
+    private fun commit(operations: List<Operation>) {
+        if (operations.isEmpty()) return
+        revision++
+        val changes = operations.map { KeyValueChange(revision, it.key, perform(it)) }
+        history.addAll(changes)
+        while (history.size > HISTORY_LIMIT) compacted = history.removeFirst().revision
+        watches.forEach { it.offer(changes) }
+    }
+
     private fun perform(operation: Operation): KeyValueEntry? = when (operation) {
         is Operation.Delete -> {
             records.remove(operation.key)
@@ -88,11 +103,8 @@
 
         is Operation.Put -> {
             val created = records[operation.key]?.createRevision ?: Revision(revision)
-            KeyValueEntry(operation.key, operation.value, created, Revision(revision), operation.lease).also {
-                records[operation.key] = it
-                history.addLast(Change(revision, it))
-                if (history.size > HISTORY_LIMIT) history.removeFirst()
-            }
+            KeyValueEntry(operation.key, operation.value, created, Revision(revision), operation.lease)
+                .also { records[operation.key] = it }
         }
     }
 
@@ -111,28 +123,47 @@
         return lease.timeToLive.right()
     }
 
-    @Synchronized
     private fun revokeLease(id: LeaseId) {
+        synchronized(this) { endLease(id) }
+        deliver()
+    }
+
+    private fun endLease(id: LeaseId) {
         leases.remove(id)
-        val ended = records.values.filter { it.lease == id }.map { it.key }
-        if (ended.isNotEmpty()) revision++
-        ended.forEach(records::remove)
+        commit(records.values.filter { it.lease == id }.map { Operation.Delete(it.key) })
     }
 
     private fun expireLeases() {
         val now = clock.monotonicNanos()
-        leases.filterValues { (it.endNanos - now).nanoseconds <= Duration.ZERO }.keys.toList().forEach(::revokeLease)
+        leases.filterValues { (it.endNanos - now).nanoseconds <= Duration.ZERO }.keys.toList().forEach(::endLease)
     }
 
-    @Synchronized
-    private fun watch(prefix: String, from: Revision, listener: WatchListener): AutoCloseable {
-        val missed = history.filter { it.revision >= from.value && it.entry.key.startsWith(prefix) }.map { it.entry }
-        if (missed.isNotEmpty()) listener.written(missed)
-        val watch = Watch(prefix, listener)
-        watches += watch
+    /** Watches the keys that [matches] selects from revision [from] on; null when that history is forgotten. */
+    internal fun observe(
+        from: Revision,
+        matches: (String) -> Boolean,
+        sink: (List<KeyValueChange>) -> Unit,
+    ): AutoCloseable? {
+        val watch = KeyValueWatch(matches, sink)
+        synchronized(this) {
+            if (from.value <= compacted) return null
+            watch.offer(history.filter { it.revision >= from.value })
+            watches += watch
+        }
+        watch.drain()
         return AutoCloseable { synchronized(this) { watches.remove(watch) } }
     }
 
+    // Listeners run outside the lock: one that calls the service from another thread would otherwise deadlock.
+    private fun deliver() = synchronized(this) { watches.toList() }.forEach { it.drain() }
+
+    private fun watch(prefix: String, from: Revision, listener: WatchListener): AutoCloseable {
+        val sink: (List<KeyValueChange>) -> Unit = { changes ->
+            changes.mapNotNull { it.entry }.takeIf { it.isNotEmpty() }?.let(listener::written)
+        }
+        return observe(from, { it.startsWith(prefix) }, sink) ?: AutoCloseable { }.also { listener.ended() }
+    }
+
     private inner class Client(private val faults: KeyValueFaults) : KeyValueService {
         private val service = this@InMemoryKeyValueService
 
@@ -154,16 +185,22 @@
             read { service.watch(prefix, fromRevision, listener) }
 
         private fun <T> read(action: () -> T): Either<Failure, T> {
-            calls++
+            arrive()
             return if (faults.available) action().right() else Failure.Unavailable("key-value service is down").left()
         }
 
         private fun <T> write(action: () -> Either<Failure, T>): Either<Failure, T> {
-            calls++
+            arrive()
             if (!faults.available) return Failure.Unavailable("key-value service is down").left()
             val result = action()
             return if (faults.loseAnswer()) Failure.OutcomeUnknown("the answer was lost").left() else result
         }
+
+        private fun arrive() {
+            callCount.incrementAndGet()
+            val delay = faults.delay
+            if (delay > Duration.ZERO) Thread.sleep(delay.inWholeMilliseconds)
+        }
     }
 
     private companion object {
--- /dev/null
+++ b/bergamotwind-test/src/main/kotlin/dev/bergamotwind/test/KeyValueChange.kt
@@ -0,0 +1,6 @@
+package dev.bergamotwind.test
+
+import dev.bergamotwind.api.KeyValueEntry
+
+/** One change of a record; [entry] is null for a deletion. */
+internal data class KeyValueChange(val revision: Long, val key: String, val entry: KeyValueEntry?)
--- a/bergamotwind-test/src/main/kotlin/dev/bergamotwind/test/KeyValueFaults.kt
+++ b/bergamotwind-test/src/main/kotlin/dev/bergamotwind/test/KeyValueFaults.kt
@@ -1,5 +1,7 @@
 package dev.bergamotwind.test
 
+import kotlin.time.Duration
+
 /** Faults that a test switches on for one client of an [InMemoryKeyValueService]. */
 public class KeyValueFaults {
     /** When false, every call fails without effect. */
@@ -9,4 +11,8 @@
     /** Decides for each write whether its answer is lost after the write took effect. */
     @Volatile
     public var loseAnswer: () -> Boolean = { false }
+
+    /** Time by which every call is late. */
+    @Volatile
+    public var delay: Duration = Duration.ZERO
 }
--- /dev/null
+++ b/bergamotwind-test/src/main/kotlin/dev/bergamotwind/test/TestCommand.kt
@@ -0,0 +1,6 @@
+package dev.bergamotwind.test
+
+import com.github.ajalt.clikt.core.NoOpCliktCommand
+
+/** Root command of the stand-ins for outside systems. */
+public class TestCommand : NoOpCliktCommand(name = "bergamotwind-test")
