--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/NodeServers.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/NodeServers.kt
@@ -34,7 +34,7 @@
         val credential = OperatorCredential(settings.administrationCredential)
         val metrics = HttpService { _, _ -> HttpResponse.of(MediaType.PLAIN_TEXT_UTF_8, registry.scrape()) }
         return builder(settings.listen.administrationPort)
-            .annotatedService("/administration/v1", api, credential)
+            .annotatedService().pathPrefix("/administration/v1").decorator(credential).build(api)
             .service("/metrics", metrics)
             .serviceUnder("/documentation", DocService())
             .build()
