--- /dev/null
+++ b/bergamotwind-platform/src/main/kotlin/dev/bergamotwind/platform/HttpClients.kt
@@ -0,0 +1,33 @@
+package dev.bergamotwind.platform
+
+import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.util.TransportType
+import io.netty.channel.ChannelOption
+import java.util.concurrent.ThreadFactory
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
+import kotlin.time.toJavaDuration
+
+// Calls to the platform are few; one event loop keeps the processor time of a node low.
+private const val EVENT_LOOPS = 1
+
+/** Returns a client factory over NIO, never io_uring. */
+internal fun clientFactory(name: String, connectTimeout: Duration): ClientFactory {
+    val number = AtomicInteger()
+    val threads = ThreadFactory { task -> Thread(task, "$name-${number.incrementAndGet()}").apply { isDaemon = true } }
+    return ClientFactory.builder()
+        .workerGroup(TransportType.NIO.newIoEventLoopGroup(EVENT_LOOPS) { threads }, true)
+        .connectTimeout(connectTimeout.toJavaDuration())
+        .channelOption(ChannelOption.SO_KEEPALIVE, true)
+        .build()
+}
+
+/** Returns a client of [address] that repeats nothing. HTTP/1 only, because etcd serves its JSON API only there. */
+internal fun webClient(address: String, factory: ClientFactory, timeout: Duration): WebClient =
+    WebClient.builder("h1c://$address")
+        .factory(factory)
+        .responseTimeout(timeout.toJavaDuration())
+        .writeTimeout(timeout.toJavaDuration())
+        .maxResponseLength(0)
+        .build()
--- a/bergamotwind-platform/src/main/kotlin/dev/bergamotwind/platform/Probe.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-package dev.bergamotwind.platform
-
-/** Placeholder. */
-public object Probe
