Release the slots of VMs that are gone at every node

Every node now releases a slot whose VM has been missing from the list for 30 s; taking one over is a release followed by a claim, whose sum is checked as always.

RateShareFleetSpec runs 3 to 6 nodes with slow clocks, restarts, pauses between and inside calls, outages, lost answers, late writes, VM replacement with list lag and changing slot counts.

--- a/bergamotwind-admission/src/main/kotlin/dev/bergamotwind/admission/SlotLedger.kt
+++ b/bergamotwind-admission/src/main/kotlin/dev/bergamotwind/admission/SlotLedger.kt
@@ -34,8 +34,6 @@
         fun sharesExcept(number: Int): Double = slots.filter { it.number != number }.sumOf { 1.0 / it.record.divisor }
     }
 
-    private class Candidate(val number: Int, val condition: Compare)
-
     private class Absence(val vm: String, val modifiedAt: Long, val sinceNanos: Long)
 
     private val absences = HashMap<Int, Absence>()
@@ -47,9 +45,11 @@
     fun tick(nowNanos: Long, entrySlots: Int) {
         if (nowNanos < nextCheckNanos && entrySlots == checkedSlots) return
         val view = read() ?: return
+        val listed = machines.read().getOrNull()?.map { it.id.value }?.toSet()
         val own = view.slots.filter { it.record.vm == vm.value }.sortedBy { it.number }
         val kept = own.firstOrNull()?.takeIf { it.number < entrySlots }
-        val settled = if (kept == null) take(view, own, entrySlots, nowNanos) else keep(view, kept, own, entrySlots)
+        val settled = if (kept != null) keep(view, kept, own, entrySlots) else take(view, own, entrySlots, listed)
+        if (listed != null) releaseAbandoned(view, listed, nowNanos)
         nextCheckNanos = nowNanos + if (settled) SLOT_CHECK_INTERVAL.inWholeNanoseconds else 0
         checkedSlots = entrySlots
     }
@@ -86,37 +86,30 @@
         }
     }
 
-    private fun take(view: View, own: List<Slot>, entrySlots: Int, nowNanos: Long): Boolean {
+    private fun take(view: View, own: List<Slot>, entrySlots: Int, listed: Set<String>?): Boolean {
         hold(0)
         own.forEach(::release)
-        val listed = machines.read().getOrElse { return false }.map { it.id.value }.toSet()
-        noteAbsences(view, listed, nowNanos)
         // A VM that the list does not show yet could lose its slot to another node at once.
-        if (own.isNotEmpty() || vm.value !in listed) return false
-        val candidate = candidate(view, entrySlots, nowNanos)?.takeIf { fits(view, it.number, entrySlots) }
-            ?: return true
-        return claim(view, candidate.condition, candidate.number, entrySlots).also { if (it) hold(entrySlots) }
-    }
-
-    private fun candidate(view: View, entrySlots: Int, nowNanos: Long): Candidate? {
-        val taken = view.slots.associateBy { it.number }
-        val free = (0 until entrySlots).firstOrNull { it !in taken }
-        if (free != null) return Candidate(free, Compare.Absent(RateKeys.slot(free)))
-        val left = view.slots.firstOrNull { slot ->
-            val since = absences[slot.number]?.sinceNanos
-            since != null && nowNanos - since >= SLOT_HANDOVER_WAIT.inWholeNanoseconds && slot.number < entrySlots
-        }
-        return left?.let { Candidate(it.number, unchanged(it.entry)) }
+        if (own.isNotEmpty() || listed == null || vm.value !in listed) return false
+        val taken = view.slots.map { it.number }.toSet()
+        val free = (0 until entrySlots).firstOrNull { it !in taken && fits(view, it, entrySlots) } ?: return true
+        return claim(view, Compare.Absent(RateKeys.slot(free)), free, entrySlots).also { if (it) hold(entrySlots) }
     }
 
-    private fun noteAbsences(view: View, listed: Set<String>, nowNanos: Long) {
-        val missing = view.slots.filter { it.record.vm !in listed }
+    /**
+     * Releases slots whose VM has been missing from the list for long enough. Every node does so, since a slot left
+     * behind also keeps the others from growing when the slot count falls.
+     */
+    private fun releaseAbandoned(view: View, listed: Set<String>, nowNanos: Long) {
+        val missing = view.slots.filter { it.record.vm !in listed && it.record.vm != vm.value }
         absences.keys.retainAll(missing.map { it.number }.toSet())
         for (slot in missing) {
             val modifiedAt = slot.entry.modificationRevision.value
-            val known = absences[slot.number]
-            if (known == null || known.vm != slot.record.vm || known.modifiedAt != modifiedAt) {
+            val known = absences[slot.number]?.takeIf { it.vm == slot.record.vm && it.modifiedAt == modifiedAt }
+            if (known == null) {
                 absences[slot.number] = Absence(slot.record.vm, modifiedAt, nowNanos)
+            } else if (nowNanos - known.sinceNanos >= SLOT_HANDOVER_WAIT.inWholeNanoseconds) {
+                release(slot)
             }
         }
     }
