--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CompletionRun.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CompletionRun.kt
@@ -20,8 +20,8 @@
 import dev.bergamotwind.routing.TargetChoice
 import dev.bergamotwind.routing.TargetNeed
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.flow.transformWhile
 import kotlinx.coroutines.flow.lastOrNull
+import kotlinx.coroutines.flow.transformWhile
 
 /** Has one completion answered, by as many targets as it takes, and publishes the answer to the callers of [run]. */
 internal class CompletionRun(
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/Node.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/Node.kt
@@ -96,6 +96,12 @@
     private val callerServer = servers.callers()
     private val administrationServer = servers.administration(api, registry)
 
+    /** Port for callers in use. */
+    val callerPort: Int get() = callerServer.activeLocalPort()
+
+    /** Port for operators in use. */
+    val administrationPort: Int get() = administrationServer.activeLocalPort()
+
     /** Starts all parts and begins to serve once a configuration has been read. */
     fun start(): Node = apply {
         applied.listen(::apply)
@@ -109,8 +115,8 @@
         callerServer.start().join()
         recorder.event("node.started") {
             field("vm", settings.vm)
-            field("caller_port", callerServer.activeLocalPort())
-            field("administration_port", administrationServer.activeLocalPort())
+            field("caller_port", callerPort)
+            field("administration_port", administrationPort)
         }
         awaitConfiguration()
         life.fire("ready")
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/NodeCommand.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/NodeCommand.kt
@@ -13,7 +13,8 @@
     private val settings by option("--settings", help = "TOML file with the settings of this node")
         .path(mustExist = true, canBeDir = false).required()
 
-    override fun help(context: Context): String = "Runs a node. Exits with 0 after a graceful stop, 1 on faulty settings."
+    override fun help(context: Context): String =
+        "Runs a node. Exits with 0 after a graceful stop, 1 on faulty settings."
 
     override fun run() {
         val read = NodeSettings.read(settings).fold(
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PlainServiceHandler.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PlainServiceHandler.kt
@@ -176,5 +176,6 @@
             RecordedAnswer.of(headers.status().code(), headers.get(HttpHeaderNames.CONTENT_TYPE), body.array())
     }
 
-    private fun credentialInBody() = Failure.Invalid("the body contains the caller's key", "Take the key out of the body.")
+    private fun credentialInBody() =
+        Failure.Invalid("the body contains the caller's key", "Take the key out of the body.")
 }
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/ReportReader.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/ReportReader.kt
@@ -19,7 +19,8 @@
     private val control: EngineControl,
     private val targets: () -> Collection<TargetId>,
     private val received: (EngineReport) -> Unit,
-) : DutyHandler<Unit>, AutoCloseable {
+) : DutyHandler<Unit>,
+    AutoCloseable {
     private val duty = Duty("reports", this, REPORT_INTERVAL)
     private val reading = ConcurrentHashMap.newKeySet<TargetId>()
     private val readers =
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/RequestSession.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/RequestSession.kt
@@ -9,6 +9,7 @@
 import dev.bergamotwind.api.Failure
 import dev.bergamotwind.api.RequestId
 import dev.bergamotwind.api.RunOutcome
+import dev.bergamotwind.api.TargetId
 import dev.bergamotwind.api.Tokens
 import dev.bergamotwind.core.EventFieldsBuilder
 import dev.bergamotwind.core.event
@@ -17,7 +18,6 @@
 import dev.bergamotwind.routing.TargetChoice
 import dev.bergamotwind.routing.TargetNeed
 import dev.bergamotwind.routing.TargetQuery
-import dev.bergamotwind.api.TargetId
 import kotlinx.coroutines.suspendCancellableCoroutine
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
--- /dev/null
+++ b/bergamotwind-node/src/test/kotlin/dev/bergamotwind/node/AttackSpec.kt
@@ -0,0 +1,103 @@
+package dev.bergamotwind.node
+
+import com.linecorp.armeria.common.HttpHeaderNames
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.RequestHeaders
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+
+/** Guards against requests that run for another team, reach what they may not, or carry a key to a target. */
+class AttackSpec {
+    data class AttackCase(
+        val name: String,
+        val path: String,
+        val keys: List<String>,
+        val body: String,
+        val status: Int,
+        val type: String,
+    ) {
+        override fun toString() = name
+    }
+
+    @ParameterizedTest
+    @MethodSource("attacks")
+    fun `refuses as not run`(case: AttackCase) {
+        val headers = RequestHeaders.builder(HttpMethod.POST, case.path).contentType(MediaType.JSON)
+        case.keys.forEach { headers.add(HttpHeaderNames.AUTHORIZATION, it) }
+        val answer = deployment.send(deployment.nodes[0].callerPort, headers.build(), case.body).join()
+        val text = answer.contentUtf8()
+        assertEquals(case.status, answer.status().code()) { text }
+        assertTrue("\"type\":\"${case.type}\"" in text && "\"run\":\"not_run\"" in text) { text }
+    }
+
+    @Test
+    fun `sends no credential to a target`() {
+        val key = Deployment.KEY
+        val headers = RequestHeaders.builder(HttpMethod.POST, "/services/orders/kits?api_key=$key&size=2&note=x$key")
+            .contentType(MediaType.JSON)
+            .add("authorization", "Bearer $key").add("proxy-authorization", "Basic $key").add("cookie", "k=$key")
+            .add("x-api-key", key).add("x-forwarded-authorization", key).add("accept-language", "en, $key")
+        val answer = deployment.send(deployment.nodes[0].callerPort, headers.build(), "kit-1").join()
+        assertEquals(200, answer.status().code()) { answer.contentUtf8() }
+        assertTrue("size=2" in answer.contentUtf8())
+        val recorded = (deployment.services.map { it.port } + deployment.engines.map { it.port }).joinToString {
+            deployment.send(it, deployment.headers(HttpMethod.GET, "/requests", null), "").join().contentUtf8()
+        }
+        assertTrue("kit-1" in recorded)
+        assertFalse(key in recorded) { recorded }
+    }
+
+    companion object {
+        private val deployment by lazy { Deployment() }
+        private const val QUESTION = """{"model":"shade","prompt":"x"}"""
+        private val own = listOf("Bearer ${Deployment.KEY}")
+        private val foreign = listOf("Bearer ${Deployment.FOREIGN_KEY}")
+
+        @JvmStatic
+        @AfterAll
+        fun close() = deployment.close()
+
+        @JvmStatic
+        fun attacks() = listOf(
+            case("no key", "/v1/completions", emptyList(), QUESTION, 401, "unauthenticated"),
+            case("unknown key", "/v1/completions", listOf("Bearer nobody"), QUESTION, 401, "unauthenticated"),
+            case(
+                "other scheme",
+                "/v1/completions",
+                listOf("Basic ${Deployment.KEY}"),
+                QUESTION,
+                401,
+                "unauthenticated",
+            ),
+            case("two keys", "/v1/completions", own + foreign, QUESTION, 401, "unauthenticated"),
+            case("model of another team", "/v1/completions", foreign, QUESTION, 403, "forbidden"),
+            case("unknown adapter", "/v1/completions", own, """{"model":"shade:x","prompt":"x"}""", 403, "forbidden"),
+            case("route of another team", "/services/orders/kits", foreign, "kit", 403, "forbidden"),
+            case("route without a key", "/services/orders/kits", emptyList(), "kit", 401, "unauthenticated"),
+            case("unknown route", "/services/nothing", own, "kit", 403, "forbidden"),
+            case("open route as a detour", "/services/stock/..%2forders/kits", own, "kit", 400, "invalid_request"),
+            case("encoded dots", "/services/stock/%2e%2e/orders", own, "kit", 400, "invalid_request"),
+            case("key in the body", "/services/orders/kits", own, Deployment.KEY, 400, "invalid_request"),
+            case("broken JSON", "/v1/completions", own, "{", 400, "invalid_request"),
+            case("no prompt", "/v1/completions", own, """{"model":"shade"}""", 400, "invalid_request"),
+            case(
+                "negative limit",
+                "/v1/completions",
+                own,
+                """{"model":"shade","prompt":"x","max_tokens":-1}""",
+                400,
+                "invalid_request",
+            ),
+            case("oversized body", "/v1/completions", own, "x".repeat(70_000), 413, "body_too_large"),
+        )
+
+        private fun case(name: String, path: String, keys: List<String>, body: String, status: Int, type: String) =
+            AttackCase(name, path, keys, body, status, type)
+    }
+}
--- /dev/null
+++ b/bergamotwind-node/src/test/kotlin/dev/bergamotwind/node/ServingSpec.kt
@@ -0,0 +1,145 @@
+package dev.bergamotwind.node
+
+import dev.bergamotwind.configuration.ConfigurationEdit
+import dev.bergamotwind.configuration.keyDigest
+import dev.bergamotwind.test.EngineCompletion
+import dev.bergamotwind.test.TargetFaults
+import kotlinx.serialization.json.JsonPrimitive
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+
+/** Guards against answers that are cut, doubled or mixed up, second runs, and false claims that nothing ran. */
+class ServingSpec {
+    @AfterEach
+    fun `no invariant was violated`() {
+        healthy()
+        assertEquals(emptyList<String>(), deployment.violations())
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = [0, 1, 5, 7, 8])
+    fun `gives each token once when an engine breaks off at token`(broken: Int) {
+        // The retry budget is earned by calls.
+        repeat(20) { deployment.ask(deployment.nodes[0], "earn $broken $it").join() }
+        deployment.faults(deployment.engines[0].port, TargetFaults(breakAfterTokens = broken))
+        repeat(4) { number ->
+            val prompt = "break $broken $number"
+            val text = deployment.ask(deployment.nodes[0], prompt, stream = true).join().contentUtf8()
+            assertEquals(EngineCompletion.tokensOf(prompt, 8), tokensIn(text)) { text }
+            assertTrue(text.trimEnd().endsWith("data: [DONE]")) { text }
+        }
+    }
+
+    @Test
+    fun `ends a stream that cannot be resumed with an error event`() {
+        deployment.engines.forEach { deployment.faults(it.port, TargetFaults(breakAfterTokens = 3)) }
+        val text = deployment.ask(deployment.nodes[1], "no engine finishes", stream = true).join().contentUtf8()
+        assertTrue("event: error" in text && "\"run\":\"run\"" in text) { text }
+        assertFalse("[DONE]" in text) { text }
+    }
+
+    @Test
+    fun `answers many callers of one question by one run each with the whole answer`() {
+        deployment.engines.forEach { deployment.faults(it.port, TargetFaults(delayMillis = 300)) }
+        val before = requestsAtEngines()
+        val answers = List(10) { deployment.ask(deployment.nodes[0], "same question", stream = it % 2 == 0) }
+        val texts = answers.map { it.join().contentUtf8() }
+        val expected = EngineCompletion.tokensOf("same question", 8)
+        texts.forEachIndexed { index, text ->
+            if (index % 2 ==
+                0
+            ) {
+                assertEquals(expected, tokensIn(text))
+            } else {
+                assertTrue(expected.joinToString("") in text)
+            }
+        }
+        assertEquals(2, requestsAtEngines() - before) { "one run streamed and one not streamed" }
+    }
+
+    @Test
+    fun `runs a call with an idempotency key once although it is repeated at other nodes`() {
+        val answers = List(8) { deployment.order(deployment.nodes[it % 2], "kit-once", "once") }.map { it.join() }
+        assertEquals(1, deployment.executions("kit-once"))
+        assertTrue(answers.any { it.status().code() == 200 })
+        assertTrue(
+            answers.all {
+                it.status().code() in setOf(200, 409)
+            },
+        ) { answers.map { it.contentUtf8() }.toString() }
+        assertEquals(200, deployment.order(deployment.nodes[1], "kit-once", "once").join().status().code())
+        assertEquals(422, deployment.order(deployment.nodes[1], "another", "once").join().status().code())
+    }
+
+    @Test
+    fun `does not repeat a call whose target breaks off after the execution`() {
+        deployment.services.forEach { deployment.faults(it.port, TargetFaults(breakAfterTokens = 0)) }
+        val first = deployment.order(deployment.nodes[0], "kit-lost", "lost").join()
+        assertEquals(502, first.status().code())
+        assertFalse("not_run" in first.contentUtf8()) { first.contentUtf8() }
+        healthy()
+        val second = deployment.order(deployment.nodes[1], "kit-lost", "lost").join()
+        assertEquals(409, second.status().code()) { second.contentUtf8() }
+        assertEquals(1, deployment.executions("kit-lost"))
+    }
+
+    @Test
+    fun `refuses a claimed call as not run while the platform is down, and runs it later`() {
+        deployment.platform.faults = deployment.platform.faults.copy(unavailable = true)
+        val refused = deployment.order(deployment.nodes[0], "kit-outage", "outage").join()
+        assertEquals(503, refused.status().code())
+        assertTrue("\"run\":\"not_run\"" in refused.contentUtf8()) { refused.contentUtf8() }
+        assertEquals(200, deployment.ask(deployment.nodes[0], "serving goes on").join().status().code())
+        healthy()
+        deployment.await("the claim") {
+            deployment.order(deployment.nodes[0], "kit-outage", "outage").join().status().code() == 200
+        }
+        assertEquals(1, deployment.executions("kit-outage"))
+    }
+
+    @Test
+    fun `gives no new work to a draining target and none is lost`() {
+        deployment.faults(deployment.services[0].port, TargetFaults(draining = true))
+        repeat(10) {
+            assertEquals(200, deployment.order(deployment.nodes[0], "kit-draining-$it").join().status().code())
+        }
+    }
+
+    @Test
+    fun `stops a revoked key, also for the stream it came with`() {
+        deployment.engines.forEach { deployment.faults(it.port, TargetFaults(delayMillis = 20_000)) }
+        val key = Deployment.SECOND_KEY
+        val streaming = deployment.ask(deployment.nodes[1], "long", stream = true, tokens = 9, key = key)
+        deployment.change("revoke", listOf(ConfigurationEdit.RevokeKey(keyDigest(key))))
+        assertTrue("revoked" in streaming.join().contentUtf8())
+        deployment.nodes.forEach { assertEquals(401, deployment.ask(it, key = key).join().status().code()) }
+    }
+
+    private fun healthy() {
+        (deployment.engines.map { it.port } + deployment.services.map { it.port })
+            .forEach { deployment.faults(it, TargetFaults()) }
+        deployment.platform.faults = deployment.platform.faults.copy(unavailable = false)
+    }
+
+    private fun requestsAtEngines(): Int = deployment.engines.sumOf { engine ->
+        val headers = deployment.headers(com.linecorp.armeria.common.HttpMethod.GET, "/requests", null)
+        "\"path\"".toRegex().findAll(deployment.send(engine.port, headers, "").join().contentUtf8()).count()
+    }
+
+    private fun tokensIn(text: String): List<String> =
+        "\"text\":\"(w\\d+ )\"".toRegex().findAll(text).map { it.groupValues[1] }.toList()
+
+    companion object {
+        private val deployment by lazy { Deployment() }
+
+        @JvmStatic
+        @AfterAll
+        fun close() = deployment.close()
+    }
+}
