Bound prefix load by the mean of the nearest targets

The mean now covers the nearest targets; the test puts 8 requests of one warm prefix on 4 near targets and expects 3 on the warm one.

--- a/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/ScoredPolicy.kt
+++ b/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/ScoredPolicy.kt
@@ -30,21 +30,25 @@
     private fun score(candidates: List<TargetView>, query: TargetQuery) {
         for (index in candidates.indices) scores[index] = expectedNanos(candidates[index], query)
         val prefix = query.prefixHash ?: return
-        val mean = (candidates.sumOf { it.running + it.queued } + 1).toDouble() / candidates.size
+        // Targets further away carry less load; counted in, they would deny the bonus to all near ones.
+        val nearest = candidates.minOf { distance(it, query) }
+        val near = candidates.indices.filter { distance(candidates[it], query) == nearest }
+        val mean = (near.sumOf { loadOf(candidates[it]) } + 1).toDouble() / near.size
         val bound = ceil(mean * PREFIX_LOAD_BOUND).toInt()
-        val home = homeOf(prefix, candidates)
+        val home = homeOf(prefix, candidates, near)
         for (index in candidates.indices) {
-            val candidate = candidates[index]
             // Without the bound, one popular prefix would lead all its requests to one target.
-            if (candidate.running + candidate.queued + 1 > bound) continue
+            if (loadOf(candidates[index]) + 1 > bound) continue
             scores[index] -= when {
-                candidate.isWarm(prefix) -> WARM_PREFIX_BONUS.inWholeNanoseconds
+                candidates[index].isWarm(prefix) -> WARM_PREFIX_BONUS.inWholeNanoseconds
                 index == home -> HOME_PREFIX_BONUS.inWholeNanoseconds
                 else -> 0
             }
         }
     }
 
+    private fun loadOf(candidate: TargetView): Int = candidate.running + candidate.queued
+
     private fun expectedNanos(candidate: TargetView, query: TargetQuery): Long {
         val adapter = (query.need as? TargetNeed.Engine)?.adapter
         val penalty = if (candidate.state == TargetEntry.HEALTHY) Duration.ZERO else SUSPECT_PENALTY
@@ -66,9 +70,9 @@
     }
 
     /** Rendezvous hash: every node finds the same home of a prefix, and few homes change with the set of targets. */
-    private fun homeOf(prefix: String, candidates: List<TargetView>): Int {
+    private fun homeOf(prefix: String, candidates: List<TargetView>, near: List<Int>): Int {
         val seed = prefix.hashCode().toLong() shl Int.SIZE_BITS
-        return candidates.indices.maxBy { index ->
+        return near.maxBy { index ->
             SplittableRandom(seed xor candidates[index].target.id.value.hashCode().toLong()).nextLong()
         }
     }
--- a/bergamotwind-routing/src/test/kotlin/dev/bergamotwind/routing/TargetSelectorSpec.kt
+++ b/bergamotwind-routing/src/test/kotlin/dev/bergamotwind/routing/TargetSelectorSpec.kt
@@ -34,11 +34,25 @@
     @Test
     fun `bounds the load that one prefix puts on its target`() {
         val fixture = TargetFixture(12)
-        repeat(12) { fixture.report("e$it") }
-        val counts = (0 until 400).map {
-            fixture.select(fixture.query(prefix = "p")).also { id -> fixture.table.started(TargetId(id)) }
-        }.filter { it in NEAR }.groupingBy { it }.eachCount()
-        assertTrue(counts.size == 4 && counts.values.max() <= 1.25 * counts.values.average() + 1) { "$counts" }
+        repeat(12) {
+            fixture.report("e$it") { report ->
+                report.copy(
+                    warmPrefixes = if (it ==
+                        0
+                    ) {
+                        listOf("p")
+                    } else {
+                        listOf()
+                    },
+                )
+            }
+        }
+        val counts = List(8) {
+            fixture.select(fixture.query(prefix = "p")).also { fixture.table.started(TargetId(it)) }
+        }
+            .groupingBy { it }.eachCount()
+        // Of 4 near targets with 9 requests, none may have more than 1.25 times the mean, rounded up.
+        assertTrue(counts.values.max() == 3 && counts["e0"] == 3) { "$counts" }
     }
 
     @Test
@@ -98,8 +112,6 @@
     }
 
     companion object {
-        private val NEAR = listOf("e0", "e3", "e6", "e9")
-
         private fun TargetFixture.state(id: String) = table.status().first { it.target.id.value == id }.state
 
         private fun TargetFixture.all(targets: Int = 6) = repeat(targets) { report("e$it") }
