Add retry budget, hedging, shared runs, attempts and stream assembly

Answers must be whole, retries within a tenth of the calls, and identical requests should run once. A stream is resumed after the delivered tokens and whole only with finish_reason and [DONE]; shared runs give each caller every event from the start and pause the producer instead of buffering without bound. Chunks without an offset are taken to start at the requested resume offset.

Trials with a mechanism removed showed that a release after sending and the age of a claim were untested; both now have a case.

--- /dev/null
+++ b/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/AttemptId.kt
@@ -0,0 +1,8 @@
+package dev.bergamotwind.routing
+
+import dev.bergamotwind.api.RequestId
+
+/** Identifies one attempt to have [request] answered; [number] counts from 1. */
+public data class AttemptId(val request: RequestId, val number: Int) {
+    override fun toString(): String = "$request.$number"
+}
--- a/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/Defaults.kt
+++ b/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/Defaults.kt
@@ -104,3 +104,30 @@
 
 /** New work may still start at a leaving target for this long: it was selected before the signal arrived. */
 public val LEAVING_GRACE: Duration = 3.seconds
+
+/** Calls that earn one retry or hedged request. */
+public const val CALLS_PER_RETRY: Int = 10
+
+/** Retries that can be saved up, so that a quiet hour does not permit a burst of retries. */
+public const val SAVED_RETRIES_LIMIT: Int = 20
+
+/** Percentile of the first-token time after which a second request is sent. */
+public const val HEDGE_PERCENTILE: Double = 95.0
+
+/** Observations needed before the percentile means something. */
+public const val HEDGE_LEAST_OBSERVATIONS: Long = 100
+
+/** Time after which older observations are dropped; between one and two of these are in use. */
+public val HEDGE_WINDOW: Duration = 1.minutes
+
+/** Least time before a second request: below it, the second answer is not faster. */
+public val HEDGE_LEAST_DELAY: Duration = 20.milliseconds
+
+/** Longest first-token time that is told apart from longer ones. */
+public val HEDGE_LONGEST_OBSERVATION: Duration = 5.minutes
+
+/** Bytes of one shared run that are kept for subscribers. */
+public const val SHARED_RUN_LIMIT_BYTES: Int = 1024 * 1024
+
+/** Greatest server-sent event that is accepted from a target. */
+public const val STREAM_EVENT_LIMIT_BYTES: Int = 1024 * 1024
--- a/bergamotwind-routing/src/test/kotlin/dev/bergamotwind/routing/ClaimStoreRandomSpec.kt
+++ b/bergamotwind-routing/src/test/kotlin/dev/bergamotwind/routing/ClaimStoreRandomSpec.kt
@@ -6,6 +6,7 @@
 import dev.bergamotwind.api.RunOutcome
 import dev.bergamotwind.api.TeamId
 import dev.bergamotwind.api.VmId
+import dev.bergamotwind.test.DelayingKeyValueService
 import dev.bergamotwind.test.InMemoryKeyValueService
 import dev.bergamotwind.test.KeyValueFaults
 import dev.bergamotwind.test.ManualClock
--- a/bergamotwind-routing/src/test/kotlin/dev/bergamotwind/routing/ClaimStoreSpec.kt
+++ b/bergamotwind-routing/src/test/kotlin/dev/bergamotwind/routing/ClaimStoreSpec.kt
@@ -1,10 +1,13 @@
 package dev.bergamotwind.routing
 
 import dev.bergamotwind.api.Clock
+import dev.bergamotwind.api.EventRecorder
+import dev.bergamotwind.api.Invariant
 import dev.bergamotwind.api.RequestId
 import dev.bergamotwind.api.RouteId
 import dev.bergamotwind.api.TeamId
 import dev.bergamotwind.api.VmId
+import dev.bergamotwind.core.ReportingInvariantMonitor
 import dev.bergamotwind.test.InMemoryKeyValueService
 import dev.bergamotwind.test.KeyValueFaults
 import dev.bergamotwind.test.ManualClock
@@ -86,6 +89,27 @@
         assertEquals("AlreadyDone", store("vm-2").result())
     }
 
+    @Test
+    fun `a process that was paused beyond the retention cannot send`() {
+        val claim = (store("vm-1").claim("first").getOrNull() as ClaimOutcome.Acquired).claim
+        clock.advance(26.hours)
+        assertEquals("Acquired", store("vm-2").result())
+        assertTrue(claim.beginSend().isLeft())
+    }
+
+    @Test
+    fun `a release or a second send after sending has no effect and is reported`() {
+        val monitor = ReportingInvariantMonitor(EventRecorder.None)
+        val store = ClaimStore(service.client(), VmId("vm-1"), clock, monitor)
+        val claim = (store.claim("first").getOrNull() as ClaimOutcome.Acquired).claim
+        assertTrue(claim.beginSend().isRight())
+        store.release(claim)
+        assertEquals("409 in_progress unknown", store("vm-2").result())
+        assertTrue(claim.beginSend().isLeft())
+        val violations = listOf(Invariant.NOT_RUN_IS_TRUE, Invariant.AT_MOST_ONCE).map(monitor::violations)
+        assertEquals(listOf(1L, 1L), violations)
+    }
+
     @Test
     fun `grants about one lease an hour however many claims are made`() {
         val store = store("vm-1")
--- a/bergamotwind-test/src/main/kotlin/dev/bergamotwind/test/DelayingKeyValueService.kt
+++ b/bergamotwind-test/src/main/kotlin/dev/bergamotwind/test/DelayingKeyValueService.kt
@@ -1,4 +1,4 @@
-package dev.bergamotwind.routing
+package dev.bergamotwind.test
 
 import arrow.core.Either
 import arrow.core.left
@@ -8,11 +8,13 @@
 import dev.bergamotwind.api.TransactionResult
 import kotlin.random.Random
 
-/** Sometimes reports a write as lost before it takes effect; [deliver] lets the late writes take effect. */
-class DelayingKeyValueService(private val service: KeyValueService, private val random: Random) :
+/** A client that reports some writes as lost before they take effect; [deliver] lets them take effect. */
+public class DelayingKeyValueService(private val service: KeyValueService, private val random: Random) :
     KeyValueService by service {
     private val late = mutableListOf<Transaction>()
-    var lateShare = 0.0
+
+    /** Share of the writes that are late. */
+    public var lateShare: Double = 0.0
 
     override fun transact(transaction: Transaction): Either<Failure, TransactionResult> {
         if (random.nextDouble() >= lateShare) return service.transact(transaction)
@@ -20,7 +22,8 @@
         return Failure.OutcomeUnknown("the write is late").left()
     }
 
-    fun deliver() {
+    /** Lets the late writes take effect in random order. */
+    public fun deliver() {
         late.shuffled(random).forEach(service::transact)
         late.clear()
     }
