--- a/bergamotwind-api/src/main/kotlin/dev/bergamotwind/api/Failure.kt
+++ b/bergamotwind-api/src/main/kotlin/dev/bergamotwind/api/Failure.kt
@@ -122,11 +122,8 @@
     }
 
     /** A target refused the request without executing any of it; [draining] if because it is leaving. */
-    public data class TargetRefused(
-        val target: TargetId,
-        val draining: Boolean,
-        override val message: String,
-    ) : Failure {
+    public data class TargetRefused(val target: TargetId, val draining: Boolean, override val message: String) :
+        Failure {
         override val code: String get() = "target_refused"
         override val status: Int get() = 503
         override val remedy: String get() = "Repeat after the time in Retry-After."
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/NodeServers.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/NodeServers.kt
@@ -42,6 +42,7 @@
 
     private fun builder(port: Int): ServerBuilder {
         val builder = Server.builder()
+            .errorHandler(TypedErrorHandler)
             .requestTimeout(Duration.ofMillis(settings.limits.requestTimeout.inWholeMilliseconds))
             // Requests have been finished or refused before the servers stop.
             .gracefulShutdownTimeoutMillis(0, CLOSE_LIMIT_MILLIS)
--- a/bergamotwind-node/src/test/kotlin/dev/bergamotwind/node/ServingSpec.kt
+++ b/bergamotwind-node/src/test/kotlin/dev/bergamotwind/node/ServingSpec.kt
@@ -4,7 +4,6 @@
 import dev.bergamotwind.configuration.keyDigest
 import dev.bergamotwind.test.EngineCompletion
 import dev.bergamotwind.test.TargetFaults
-import kotlinx.serialization.json.JsonPrimitive
 import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
