--- a/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/ConfigurationKeys.kt
+++ b/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/ConfigurationKeys.kt
@@ -9,6 +9,9 @@
     public const val CHANGES: String = "/bergamotwind/configuration/change/"
 
     internal const val SUBMITTED = "/bergamotwind/configuration/submitted/"
+
+    /** Written by every deletion of changes, so that a transaction can compare that none took place. */
+    internal const val TRIMMED = "/bergamotwind/configuration/trimmed"
     internal const val SNAPSHOTS = "/bergamotwind/configuration/snapshot/"
     internal const val MANIFESTS = "/bergamotwind/configuration/manifest/"
     private const val REVISION_DIGITS = 20
--- a/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/ConfigurationLog.kt
+++ b/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/ConfigurationLog.kt
@@ -32,9 +32,9 @@
      * Adds a change to the log once, however often it is submitted under the same [id], and returns it as accepted.
      *
      * Errors: [Failure.Invalid] for a faulty edit, [Failure.Conflict] for edits that no longer fit after a concurrent
-     * change, [Failure.Unavailable] when nothing was written, [Failure.OutcomeUnknown] when the change may have been
-     * accepted; submitting again under the same id settles the last two. An id is known as long as its change is kept,
-     * that is for at least [SNAPSHOT_INTERVAL_CHANGES] changes.
+     * change, [Failure.Unavailable] when this call wrote nothing, [Failure.OutcomeUnknown] when the change may be in
+     * the log; submitting again under the same id settles the last two. An id is known for at least an hour after its
+     * change was accepted.
      */
     public fun submit(
         edits: List<ConfigurationEdit>,
@@ -46,14 +46,13 @@
     }
 
     private fun submit(submission: ConfigurationSubmission): Either<Failure, ConfigurationChange> {
-        var unsettled: Failure? = null
         repeat(MAXIMUM_SUBMIT_ATTEMPTS) { number ->
             val outcome = attempt(submission, raced = number > 0)
             val failure = outcome.leftOrNull()
             when {
-                failure is Failure.OutcomeUnknown -> unsettled = failure
+                failure is Failure.OutcomeUnknown -> submission.unsettled = failure
 
-                failure is Failure.Unavailable -> return (unsettled ?: failure).left()
+                failure is Failure.Unavailable -> return (submission.unsettled ?: failure).left()
 
                 // A refusal after a lost answer is true: the log was read since and does not hold the change.
                 failure != null -> return failure.left()
@@ -61,7 +60,8 @@
                 else -> outcome.getOrNull()?.let { return it.right() }
             }
         }
-        return (unsettled ?: Failure.Conflict("change ${submission.id} lost $MAXIMUM_SUBMIT_ATTEMPTS races")).left()
+        val lost = Failure.Conflict("change ${submission.id} lost $MAXIMUM_SUBMIT_ATTEMPTS races")
+        return (submission.unsettled ?: lost).left()
     }
 
     /**
@@ -87,7 +87,7 @@
         val start = known.get()
         val result = if (start.revision == OperatorConfiguration().revision) null else catchUp(start)
         return if (result == null || result.leftOrNull() is Failure.NotFound) {
-            snapshots.readNewest().flatMap(::catchUp).mapLeft(::trimmedMeanwhile)
+            snapshots.readNewest().flatMap(::catchUp).mapLeft { if (it is Failure.NotFound) trimmedMeanwhile() else it }
         } else {
             result
         }
@@ -97,39 +97,55 @@
     public fun writeSnapshot(configuration: OperatorConfiguration): Either<Failure, Unit> =
         snapshots.write(configuration)
 
-    /** Deletes snapshots older than the newest two complete ones, and the changes that both contain. */
+    /**
+     * Deletes snapshots older than the newest two complete ones, and the changes that both contain once they are older
+     * than an hour.
+     */
     public fun trim(): Either<Failure, Unit> = either {
         val oldestKept = snapshots.trim().bind() ?: return@either
         do {
             val page = service.list(KeyRange(ConfigurationKeys.CHANGES, limit = CHANGES_PER_DELETION)).bind().entries
-                .map { decode(it).bind() }.filter { it.revision <= oldestKept }
+                .map { decode(it).bind() }
+                .takeWhile { it.revision <= oldestKept && clock.wallMillis() - it.wallMillis > KEPT_CHANGE_MILLIS }
             val deletions = page.flatMap {
                 listOf(ConfigurationKeys.change(it.revision), ConfigurationKeys.submitted(it.id))
-            }
-            if (page.isNotEmpty()) service.transact(Transaction(emptyList(), deletions.map(Operation::Delete))).bind()
+            }.map(Operation::Delete)
+            val note = Operation.Put(ConfigurationKeys.TRIMMED, oldestKept.toString())
+            if (page.isNotEmpty()) service.transact(Transaction(emptyList(), deletions + note)).bind()
         } while (page.size == CHANGES_PER_DELETION)
     }
 
     /** Tries the next revision once. Returns null when another change took it first. */
     private fun attempt(submission: ConfigurationSubmission, raced: Boolean): Either<Failure, ConfigurationChange?> =
         either {
+            val trimming = service.get(ConfigurationKeys.TRIMMED).bind()
             val base = readLatest().bind()
             if (raced) accepted(submission).bind()?.let { return@either it }
+            if (!submission.noteTrimming(trimming)) raise(trimmedMeanwhile())
             val change = submission.toChange(base.revision.next(), clock.wallMillis())
             val next = ConfigurationEditor.apply(base, change)
             if (next.isLeft()) accepted(submission).bind()?.let { return@either it }
             next.mapLeft { if (raced) Failure.Conflict("after a concurrent change, ${it.message}") else it }.bind()
-            if (create(change).bind()) change else accepted(submission).bind()
+            if (create(change, trimming).bind()) change else accepted(submission).bind()
         }
 
-    /** One transaction creates the revision and the record of the id, so neither can exist twice. */
-    private fun create(change: ConfigurationChange): Either<Failure, Boolean> {
+    /**
+     * One transaction creates the revision and the record of the id, so neither can exist twice. It also compares that
+     * nothing was trimmed since [trimming] was read: after a pause, or when the request comes late, the revision may
+     * have been taken and trimmed, and would otherwise be created a second time in the past.
+     */
+    private fun create(change: ConfigurationChange, trimming: KeyValueEntry?): Either<Failure, Boolean> {
         val text = ConfigurationJson.encodeToString(ConfigurationChange.serializer(), change)
         if (text.length > MAXIMUM_CHANGE_CHARACTERS) return tooLarge(change).left()
         val revisionKey = ConfigurationKeys.change(change.revision)
         val idKey = ConfigurationKeys.submitted(change.id)
+        val untrimmed = if (trimming == null) {
+            Compare.Absent(ConfigurationKeys.TRIMMED)
+        } else {
+            Compare.ModifiedAt(trimming.key, trimming.modificationRevision)
+        }
         val transaction = Transaction(
-            listOf(Compare.Absent(revisionKey), Compare.Absent(idKey)),
+            listOf(Compare.Absent(revisionKey), Compare.Absent(idKey), untrimmed),
             listOf(Operation.Put(revisionKey, text), Operation.Put(idKey, change.revision.toString())),
         )
         return service.transact(transaction).map { it.applied }
@@ -157,8 +173,7 @@
         Failure.Unavailable("change ${entry.key} cannot be read: ${failure.message}", "Upgrade this node.").left()
     }
 
-    private fun trimmedMeanwhile(failure: Failure): Failure =
-        if (failure is Failure.NotFound) Failure.Unavailable("the log was trimmed while it was read") else failure
+    private fun trimmedMeanwhile() = Failure.Unavailable("the change log was trimmed meanwhile")
 
     private fun trimmed(revision: Revision) = Failure.NotFound(
         "changes after revision $revision are no longer in the log",
--- a/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/Defaults.kt
+++ b/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/Defaults.kt
@@ -21,6 +21,9 @@
 /** Changes deleted by one transaction; each has two records, and etcd permits 128 operations by default. */
 internal const val CHANGES_PER_DELETION = 50
 
+/** Age at which changes may be trimmed; within it a submission can be repeated under its id. */
+internal const val KEPT_CHANGE_MILLIS = 3_600_000L
+
 /** Complete snapshots that are kept; the second covers a fault in the newest. */
 internal const val KEPT_SNAPSHOTS = 2
 
