Give a watch from revision 0 one meaning, and share the loop over targets

Two merged modules read revision 0 differently: the change log watched from now on, the stand-in took it as forgotten history and ended the watch. It now means from now on, as in the published protocol, and the port says so. The loop over targets stood twice in the handlers; it is now in RequestSession.

--- a/bergamotwind-api/src/main/kotlin/dev/bergamotwind/api/KeyValueService.kt
+++ b/bergamotwind-api/src/main/kotlin/dev/bergamotwind/api/KeyValueService.kt
@@ -28,6 +28,9 @@
     /** Ends [lease] and deletes its records. */
     public fun revokeLease(lease: LeaseId): Either<Failure, Unit>
 
-    /** Watches keys under [prefix] from [fromRevision] on until the result is closed. Counts as one waiting call. */
+    /**
+     * Watches keys under [prefix] from [fromRevision] on, or from now on if it is 0, until the result is closed.
+     * Counts as one waiting call.
+     */
     public fun watch(prefix: String, fromRevision: Revision, listener: WatchListener): Either<Failure, AutoCloseable>
 }
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/AdministrationApi.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/AdministrationApi.kt
@@ -42,7 +42,7 @@
     @Post("/changes")
     @Blocking
     @Description(
-        "Submits a list of edits that take effect together, or not at all. Repeat under the same id after a lost answer.",
+        "Submits edits that take effect together or not at all. After a lost answer, repeat under the same id.",
     )
     fun submit(request: AggregatedHttpRequest): HttpResponse =
         parse(request.contentUtf8()).fold({ ErrorResponses.of(it) }, ::submit)
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CallerResponse.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CallerResponse.kt
@@ -11,7 +11,7 @@
 import dev.bergamotwind.api.RunOutcome
 import kotlinx.coroutines.future.await
 
-/** The answer to one caller. Begins once, and ends whole, with an error event, or broken off, but never falsely whole. */
+/** The answer to one caller. It ends whole, with an error event or broken off, but never falsely whole. */
 internal class CallerResponse(private val writer: HttpResponseWriter, private val request: RequestId) {
     /** Whether the head has been sent. */
     var begun: Boolean = false
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CompletionRun.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CompletionRun.kt
@@ -77,20 +77,11 @@
 
     private suspend fun answer(): Either<Failure, Unit> {
         val need = TargetNeed.Engine(request.model, request.adapter)
-        val tried = mutableSetOf<TargetId>()
         var last: Failure? = null
-        parts.retries.called()
-        while (tried.size < MAXIMUM_ATTEMPTS) {
-            val body = (if (attempts == 0) request.body.toString() else assembler.resumeBody())
-                ?: return last!!.left()
-            val choice = session.recheck().flatMap { session.select(need, request.prefixHash, tried) }
-                .fold({ return (last ?: it).left() }, { it })
-            tried += choice.target.id
-            val failure = attempt(choice, body).fold({ it }, { return Unit.right() })
-            if (failure is Failure.Invalid || !session.mayTryAgain(idempotent = true)) return failure.left()
-            last = failure
+        return session.tryTargets(need, request.prefixHash) { choice ->
+            val body = if (attempts == 0) request.body.toString() else assembler.resumeBody()
+            if (body == null) last!!.left() else attempt(choice, body).onLeft { last = it }
         }
-        return last!!.left()
     }
 
     private suspend fun attempt(choice: TargetChoice, body: String): Either<Failure, Unit> {
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PlainServiceHandler.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PlainServiceHandler.kt
@@ -13,7 +13,6 @@
 import dev.bergamotwind.admission.AccessSubject
 import dev.bergamotwind.api.Failure
 import dev.bergamotwind.api.RunOutcome
-import dev.bergamotwind.api.TargetId
 import dev.bergamotwind.api.Tokens
 import dev.bergamotwind.configuration.Route
 import dev.bergamotwind.configuration.sha256
@@ -103,22 +102,8 @@
         return result
     }
 
-    private suspend fun send(prepared: Prepared, claim: Claim?): Either<Failure, Answer> {
-        val session = prepared.session
-        val tried = mutableSetOf<TargetId>()
-        var last: Failure? = null
-        parts.retries.called()
-        while (tried.size < MAXIMUM_ATTEMPTS) {
-            val choice = session.recheck()
-                .flatMap { session.select(TargetNeed.Service(prepared.route.id), null, tried) }
-                .fold({ return (last ?: it).left() }, { it })
-            tried += choice.target.id
-            val failure = attempt(prepared, choice, claim).fold({ it }, { return it.right() })
-            if (!session.mayTryAgain(prepared.route.idempotent)) return failure.left()
-            last = failure
-        }
-        return last!!.left()
-    }
+    private suspend fun send(prepared: Prepared, claim: Claim?): Either<Failure, Answer> =
+        prepared.session.tryTargets(TargetNeed.Service(prepared.route.id)) { attempt(prepared, it, claim) }
 
     private suspend fun attempt(prepared: Prepared, choice: TargetChoice, claim: Claim?): Either<Failure, Answer> {
         val session = prepared.session
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/RequestSession.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/RequestSession.kt
@@ -1,6 +1,7 @@
 package dev.bergamotwind.node
 
 import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
 import dev.bergamotwind.admission.Access
@@ -27,7 +28,7 @@
 internal class RequestSession(
     val id: RequestId,
     val access: Access,
-    idempotent: Boolean,
+    private val idempotent: Boolean,
     private val parts: ServingParts,
 ) {
     private val startedNanos = parts.clock.monotonicNanos()
@@ -69,9 +70,26 @@
     fun recheck(): Either<Failure, Unit> =
         parts.authenticator().recheck(access, parts.applied.freshnessAge(parts.clock.monotonicNanos()))
 
-    /** Selects a target for [need] other than those already [tried]. */
-    fun select(need: TargetNeed, prefixHash: String?, tried: Set<TargetId>): Either<Failure, TargetChoice> =
-        parts.selector.select(TargetQuery(need, parts.failureDomain, parts.region, prefixHash, tried))
+    /**
+     * Has [attempt] try targets for [need] one after another until it succeeds or must not be repeated. Another target
+     * is tried if the request has certainly not run, or if it is idempotent and the retry budget allows it.
+     */
+    suspend fun <T> tryTargets(
+        need: TargetNeed,
+        prefixHash: String? = null,
+        attempt: suspend (TargetChoice) -> Either<Failure, T>,
+    ): Either<Failure, T> {
+        val tried = mutableSetOf<TargetId>()
+        var result: Either<Failure, T>? = null
+        parts.retries.called()
+        do {
+            val query = TargetQuery(need, parts.failureDomain, parts.region, prefixHash, tried)
+            val choice = recheck().flatMap { parts.selector.select(query) }.fold({ return result ?: it.left() }, { it })
+            tried += choice.target.id
+            result = attempt(choice)
+        } while (tried.size < MAXIMUM_ATTEMPTS && result.leftOrNull()?.let(::mayTryAgain) == true)
+        return result
+    }
 
     /** Notes that an attempt at [choice] begins; false if it must not be sent. */
     fun beginAttempt(choice: TargetChoice): Either<Failure, Unit> {
@@ -91,8 +109,8 @@
         }
     }
 
-    /** Whether another target may be tried after a failed attempt; repeats of what may have run cost budget. */
-    fun mayTryAgain(idempotent: Boolean): Boolean = when {
+    private fun mayTryAgain(failure: Failure): Boolean = when {
+        failure is Failure.Invalid -> false
         tracker.outcome == RunOutcome.NOT_RUN -> true
         else -> parts.retries.tryRetry(idempotent)
     }
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/ServingParts.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/ServingParts.kt
@@ -16,7 +16,7 @@
 import kotlinx.coroutines.CoroutineDispatcher
 
 /** What the handlers of callers' requests share. */
-internal class ServingParts(
+internal data class ServingParts(
     val failureDomain: FailureDomainId,
     val region: RegionId,
     val clock: Clock,
--- a/bergamotwind-node/src/test/kotlin/dev/bergamotwind/node/AttackSpec.kt
+++ b/bergamotwind-node/src/test/kotlin/dev/bergamotwind/node/AttackSpec.kt
@@ -65,9 +65,9 @@
 
         @JvmStatic
         fun attacks() = listOf(
-            case("no key", "/v1/completions", emptyList(), QUESTION, 401, "unauthenticated"),
-            case("unknown key", "/v1/completions", listOf("Bearer nobody"), QUESTION, 401, "unauthenticated"),
-            case(
+            AttackCase("no key", "/v1/completions", emptyList(), QUESTION, 401, "unauthenticated"),
+            AttackCase("unknown key", "/v1/completions", listOf("Bearer nobody"), QUESTION, 401, "unauthenticated"),
+            AttackCase(
                 "other scheme",
                 "/v1/completions",
                 listOf("Basic ${Deployment.KEY}"),
@@ -75,18 +75,32 @@
                 401,
                 "unauthenticated",
             ),
-            case("two keys", "/v1/completions", own + foreign, QUESTION, 401, "unauthenticated"),
-            case("model of another team", "/v1/completions", foreign, QUESTION, 403, "forbidden"),
-            case("unknown adapter", "/v1/completions", own, """{"model":"shade:x","prompt":"x"}""", 403, "forbidden"),
-            case("route of another team", "/services/orders/kits", foreign, "kit", 403, "forbidden"),
-            case("route without a key", "/services/orders/kits", emptyList(), "kit", 401, "unauthenticated"),
-            case("unknown route", "/services/nothing", own, "kit", 403, "forbidden"),
-            case("open route as a detour", "/services/stock/..%2forders/kits", own, "kit", 400, "invalid_request"),
-            case("encoded dots", "/services/stock/%2e%2e/orders", own, "kit", 400, "invalid_request"),
-            case("key in the body", "/services/orders/kits", own, Deployment.KEY, 400, "invalid_request"),
-            case("broken JSON", "/v1/completions", own, "{", 400, "invalid_request"),
-            case("no prompt", "/v1/completions", own, """{"model":"shade"}""", 400, "invalid_request"),
-            case(
+            AttackCase("two keys", "/v1/completions", own + foreign, QUESTION, 401, "unauthenticated"),
+            AttackCase("model of another team", "/v1/completions", foreign, QUESTION, 403, "forbidden"),
+            AttackCase(
+                "unknown adapter",
+                "/v1/completions",
+                own,
+                """{"model":"shade:x","prompt":"x"}""",
+                403,
+                "forbidden",
+            ),
+            AttackCase("route of another team", "/services/orders/kits", foreign, "kit", 403, "forbidden"),
+            AttackCase("route without a key", "/services/orders/kits", emptyList(), "kit", 401, "unauthenticated"),
+            AttackCase("unknown route", "/services/nothing", own, "kit", 403, "forbidden"),
+            AttackCase(
+                "open route as a detour",
+                "/services/stock/..%2forders/kits",
+                own,
+                "kit",
+                400,
+                "invalid_request",
+            ),
+            AttackCase("encoded dots", "/services/stock/%2e%2e/orders", own, "kit", 400, "invalid_request"),
+            AttackCase("key in the body", "/services/orders/kits", own, Deployment.KEY, 400, "invalid_request"),
+            AttackCase("broken JSON", "/v1/completions", own, "{", 400, "invalid_request"),
+            AttackCase("no prompt", "/v1/completions", own, """{"model":"shade"}""", 400, "invalid_request"),
+            AttackCase(
                 "negative limit",
                 "/v1/completions",
                 own,
@@ -94,10 +108,7 @@
                 400,
                 "invalid_request",
             ),
-            case("oversized body", "/v1/completions", own, "x".repeat(70_000), 413, "body_too_large"),
+            AttackCase("oversized body", "/v1/completions", own, "x".repeat(70_000), 413, "body_too_large"),
         )
-
-        private fun case(name: String, path: String, keys: List<String>, body: String, status: Int, type: String) =
-            AttackCase(name, path, keys, body, status, type)
     }
 }
--- a/bergamotwind-node/src/test/kotlin/dev/bergamotwind/node/Deployment.kt
+++ b/bergamotwind-node/src/test/kotlin/dev/bergamotwind/node/Deployment.kt
@@ -147,7 +147,9 @@
         ConfigurationEdit.PutKey(ApiKey(keyDigest(SECOND_KEY), TeamId("lowland"))),
         ConfigurationEdit.PutKey(ApiKey(keyDigest(FOREIGN_KEY), TeamId("borders"))),
     ) + engines.mapIndexed { index, engine -> target("engine-${'a' + index}", TargetKind.ENGINE, engine.port, null) } +
-        services.mapIndexed { index, it -> target("order-${'a' + index}", TargetKind.SERVICE, it.port, "orders") }
+        services.mapIndexed { index, replica ->
+            target("order-${'a' + index}", TargetKind.SERVICE, replica.port, "orders")
+        }
 
     private fun team(id: String, models: Set<String>, routes: Set<String>) = Team(
         TeamId(id),
--- a/bergamotwind-test/src/main/kotlin/dev/bergamotwind/test/EngineCompletion.kt
+++ b/bergamotwind-test/src/main/kotlin/dev/bergamotwind/test/EngineCompletion.kt
@@ -15,7 +15,7 @@
 import kotlinx.serialization.json.putJsonArray
 import kotlinx.serialization.json.putJsonObject
 
-/** One completion request to an engine stand-in. Its answer depends only on the prompt, so any engine gives the same. */
+/** One request to an engine stand-in. The answer depends only on the prompt, so any engine gives the same. */
 public class EngineCompletion(private val body: JsonObject, private val chat: Boolean) {
     private val modelName = body.getValue("model").jsonPrimitive.content
     private val prompt = promptOf(body)
--- a/bergamotwind-test/src/main/kotlin/dev/bergamotwind/test/InMemoryKeyValueService.kt
+++ b/bergamotwind-test/src/main/kotlin/dev/bergamotwind/test/InMemoryKeyValueService.kt
@@ -138,7 +138,10 @@
         leases.filterValues { (it.endNanos - now).nanoseconds <= Duration.ZERO }.keys.toList().forEach(::endLease)
     }
 
-    /** Watches the keys that [matches] selects from revision [from] on; null when that history is forgotten. */
+    /**
+     * Watches the keys that [matches] selects from revision [from] on, or from now on if it is 0; null when that
+     * history is forgotten.
+     */
     internal fun observe(
         from: Revision,
         matches: (String) -> Boolean,
@@ -146,8 +149,8 @@
     ): AutoCloseable? {
         val watch = KeyValueWatch(matches, sink)
         synchronized(this) {
-            if (from.value <= compacted) return null
-            watch.offer(history.filter { it.revision >= from.value })
+            if (from.value in 1..compacted) return null
+            if (from.value > 0) watch.offer(history.filter { it.revision >= from.value })
             watches += watch
         }
         watch.drain()
