--- a/bergamotwind-placement/src/main/kotlin/dev/bergamotwind/placement/Probe.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-package dev.bergamotwind.placement
-
-/** Placeholder. */
-public object Probe
