--- /dev/null
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/TargetAnswer.kt
@@ -0,0 +1,51 @@
+package dev.bergamotwind.node
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.ResponseHeaders
+import com.linecorp.armeria.common.stream.StreamMessage
+import dev.bergamotwind.api.Failure
+import dev.bergamotwind.api.RunOutcome
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.catch
+import kotlinx.coroutines.flow.map
+import kotlinx.coroutines.reactive.asFlow
+import java.io.ByteArrayOutputStream
+
+/** Head and body of a target's answer. */
+internal class TargetAnswer(
+    val headers: ResponseHeaders,
+    private val body: StreamMessage<HttpData>,
+    private val response: HttpResponse,
+) {
+    /** Whether the target refuses work because it is leaving. */
+    val isDraining: Boolean get() = headers.status().code() == SERVICE_UNAVAILABLE && headers.contains("x-draining")
+
+    /** The parts of the body; the last one is a failure if the connection ends before the body is whole. */
+    fun parts(address: String): Flow<Either<Failure.TargetFailed, HttpData>> = body.asFlow()
+        .map<HttpData, Either<Failure.TargetFailed, HttpData>> { it.right() }
+        .catch { failure ->
+            if (failure is CancellationException) throw failure
+            val message = "target $address broke off its answer: ${failure.message ?: failure.javaClass.simpleName}"
+            emit(Failure.TargetFailed(message, RunOutcome.RUN).left())
+        }
+
+    /** Reads the whole body. */
+    suspend fun whole(address: String): Either<Failure.TargetFailed, HttpData> {
+        val bytes = ByteArrayOutputStream()
+        var failure: Failure.TargetFailed? = null
+        parts(address).collect { part -> part.fold({ failure = it }, { bytes.writeBytes(it.array()) }) }
+        return failure?.left() ?: HttpData.wrap(bytes.toByteArray()).right()
+    }
+
+    /** Cancels the request at the target. */
+    fun abort(): Unit = response.abort()
+
+    private companion object {
+        const val SERVICE_UNAVAILABLE = 503
+    }
+}
