--- a/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/NodeSettings.kt
+++ b/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/NodeSettings.kt
@@ -25,6 +25,7 @@
     val peers: List<IpEndpoint>,
     val tls: TlsSettings?,
     val limits: LimitSettings,
+    val weightStore: WeightStoreSettings,
 ) {
     /** Reads settings. */
     public companion object {
@@ -54,6 +55,7 @@
             peers = reader.endpoints(SettingDefinitions.peers),
             tls = tls(reader),
             limits = limits(reader),
+            weightStore = weightStore(reader),
         )
 
         private fun listen(reader: SettingsReader): ListenSettings {
@@ -84,6 +86,12 @@
             return TlsSettings(Path(certificate), Path(key))
         }
 
+        private fun weightStore(reader: SettingsReader) = WeightStoreSettings(
+            loadsPerSecond = reader.integer(SettingDefinitions.storeLoads).toInt(),
+            concurrentLoads = reader.integer(SettingDefinitions.storeConcurrent).toInt(),
+            adapterLoadsInFlight = reader.integer(SettingDefinitions.storeAdapters).toInt(),
+        )
+
         private fun limits(reader: SettingsReader) = LimitSettings(
             maximumBodyBytes = reader.integer(SettingDefinitions.bodyBytes),
             requestsInFlight = reader.integer(SettingDefinitions.inFlight).toInt(),
--- a/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/SettingDefinitions.kt
+++ b/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/SettingDefinitions.kt
@@ -73,11 +73,30 @@
     internal val requestTimeout =
         limit("limits.request_timeout_milliseconds", "120000", "ms", "Deadline of a request that names none.")
 
+    internal val storeLoads = limit(
+        "weight_store.loads_per_second",
+        "1",
+        "loads/s",
+        "Loads of models that the weight store allows per second, over all failure domains.",
+    )
+    internal val storeConcurrent = limit(
+        "weight_store.concurrent_loads",
+        "11",
+        "loads",
+        "Loads of models that the weight store serves at the same time at full speed.",
+    )
+    internal val storeAdapters = limit(
+        "weight_store.adapter_loads_in_flight",
+        "90",
+        "loads",
+        "Loads of adapters in flight above which each takes proportionally longer.",
+    )
+
     /** The definitions. */
     public val all: List<SettingDefinition> = listOf(
         vm, failureDomain, region, addresses, callerPort, administrationPort, peerPort, keyValueService,
         virtualMachineList, credential, peerSecret, peers, certificate, certificateKey, bodyBytes, inFlight,
-        queueLength, drain, balancerLag, keyValueCalls, requestTimeout,
+        queueLength, drain, balancerLag, keyValueCalls, requestTimeout, storeLoads, storeConcurrent, storeAdapters,
     )
 
     /** The table of the settings page. */
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CompletionRun.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CompletionRun.kt
@@ -43,6 +43,7 @@
     suspend fun execute() {
         try {
             session.event("received") { field("model", request.name) }
+            parts.observeDemand(DemandObservation(request.model, request.adapter, request.estimatedTokens))
             session.admit(request.estimatedTokens).fold({ run.fail(session.refused(it)) }, { admitted ->
                 try {
                     answer().fold({ run.fail(session.refused(it)) }, { finished() })
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/Node.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/Node.kt
@@ -69,6 +69,16 @@
     private val client = TargetClient()
     private val exchanges = ActiveExchanges()
 
+    private val placement = PlacementDuty(
+        settings,
+        keyValue,
+        control,
+        PlacementView(applied, table, control, settings.failureDomain),
+        clock,
+        monitor,
+        recorder,
+    )
+
     @Volatile
     private var authenticator = KeyAuthenticator(applied.current, monitor)
 
@@ -90,6 +100,7 @@
         exchanges,
         settings.limits,
         blocking.asCoroutineDispatcher(),
+        placement::observe,
     )
     private val api = AdministrationApi(log, applied, timeLine, ::status, ::onAccepted, ::beginDrain)
     private val servers = NodeServers(settings, parts)
@@ -110,6 +121,7 @@
         follower.start()
         rateShares.start()
         reports.start()
+        placement.start()
         maintenance.scheduleWithFixedDelay(claims::maintain, 1, 1, TimeUnit.SECONDS)
         administrationServer.start().join()
         callerServer.start().join()
@@ -131,6 +143,7 @@
         while (exchanges.size > 0 && clock.monotonicNanos() < limit) sleep(DRAIN_POLL_MILLIS)
         monitor.check(Invariant.GRACEFUL_STOP, exchanges.size == 0) { "interrupted=${exchanges.size}" }
         callerServer.stop().join()
+        placement.close()
         rateShares.close()
         reports.close()
         maintenance.shutdown()
@@ -174,6 +187,7 @@
             revision = applied.current.revision.value,
             freshnessMillis = if (freshness.isInfinite()) -1 else freshness.inWholeMilliseconds,
             activeRequests = exchanges.size,
+            placementOwner = placement.isOwner,
             queuedRequests = admission.snapshot.queueLength,
             invariantViolations = Invariant.entries.associate { it.name to monitor.violations(it) },
             peers = emptyList(),
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/NodeStatus.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/NodeStatus.kt
@@ -14,6 +14,7 @@
     val freshnessMillis: Long,
     val activeRequests: Int,
     val queuedRequests: Int,
+    val placementOwner: Boolean,
     val invariantViolations: Map<String, Long>,
     val peers: List<PeerStatus>,
     val targets: List<TargetStatus>,
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/ServingParts.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/ServingParts.kt
@@ -35,4 +35,6 @@
     val limits: LimitSettings,
     /** Runs calls that block on the key-value service. */
     val blocking: CoroutineDispatcher,
+    /** Tells placement what is asked for, whether it is admitted or not. */
+    val observeDemand: (DemandObservation) -> Unit,
 )
