--- a/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/ConfigurationEditor.kt
+++ b/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/ConfigurationEditor.kt
@@ -4,6 +4,7 @@
 import arrow.core.left
 import arrow.core.right
 import dev.bergamotwind.api.Failure
+import dev.bergamotwind.api.KeyDigest
 
 /** Applies changes to configurations. Pure: reads no clock and no network. */
 public object ConfigurationEditor {
@@ -39,7 +40,8 @@
         Failure.Conflict("revision ${change.revision} does not follow revision ${configuration.revision}").left()
     }
 
-    private fun applied(old: OperatorConfiguration, edit: ConfigurationEdit): OperatorConfiguration = when (edit) {
+    /** Applies one edit without validating it. */
+    internal fun applied(old: OperatorConfiguration, edit: ConfigurationEdit): OperatorConfiguration = when (edit) {
         is ConfigurationEdit.SetEntrySlots -> old.copy(entrySlots = edit.count)
 
         is ConfigurationEdit.PutFailureDomain ->
@@ -63,10 +65,12 @@
     private fun removed(old: OperatorConfiguration, edit: ConfigurationEdit.Removal) = when (edit) {
         is ConfigurationEdit.RemoveFailureDomain -> old.copy(failureDomains = old.failureDomains - edit.id)
 
-        is ConfigurationEdit.RemoveTeam ->
-            old.copy(teams = old.teams - edit.id, keys = old.keys.filterValues { it.team != edit.id })
+        is ConfigurationEdit.RemoveTeam -> {
+            val digests = old.keys.values.filter { it.team == edit.id }.map { it.digest }
+            revoked(old, digests).copy(teams = old.teams - edit.id)
+        }
 
-        is ConfigurationEdit.RevokeKey -> old.copy(keys = old.keys - edit.digest)
+        is ConfigurationEdit.RevokeKey -> revoked(old, listOf(edit.digest))
 
         is ConfigurationEdit.RemoveModel -> old.copy(models = old.models - edit.id)
 
@@ -77,5 +81,10 @@
         is ConfigurationEdit.RemoveTarget -> old.copy(targets = old.targets - edit.id)
     }
 
+    private fun revoked(old: OperatorConfiguration, digests: List<KeyDigest>) = old.copy(
+        keys = old.keys - digests.toSet(),
+        revokedKeys = (old.revokedKeys + digests).toList().takeLast(KEPT_REVOKED_KEYS).toSet(),
+    )
+
     private fun invalid(message: String) = Failure.Invalid(message, "Correct the edit and submit the change again.")
 }
--- a/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/Defaults.kt
+++ b/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/Defaults.kt
@@ -38,3 +38,9 @@
 
 /** Races that a change may lose before it is refused; operators submit about one change in eight seconds. */
 internal const val MAXIMUM_SUBMIT_ATTEMPTS = 32
+
+/** Revoked keys that are remembered; their digests add at most 0.7 MB to a snapshot. */
+internal const val KEPT_REVOKED_KEYS = 10_000
+
+/** Largest number in a cell of the planning sheet. */
+internal const val MAXIMUM_SHEET_NUMBER = 2_000_000_000L
--- a/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/EditRules.kt
+++ b/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/EditRules.kt
@@ -43,6 +43,7 @@
     private fun keyFaults(configuration: OperatorConfiguration, key: ApiKey) = FaultCollector.collect {
         require(Names.isDigest(key.digest.value), "key: the digest must be 64 lower-case hexadecimal digits")
         require(key.team in configuration.teams, "key ${key.digest.abbreviated()}: team ${key.team} does not exist")
+        require(key.digest !in configuration.revokedKeys, "key ${key.digest.abbreviated()} has been revoked")
         val owner = configuration.keys[key.digest]?.team
         require(owner == null || owner == key.team, "key ${key.digest.abbreviated()} already belongs to team $owner")
     }
--- a/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/OperatorConfiguration.kt
+++ b/bergamotwind-configuration/src/main/kotlin/dev/bergamotwind/configuration/OperatorConfiguration.kt
@@ -10,7 +10,10 @@
 import dev.bergamotwind.api.TeamId
 import kotlinx.serialization.Serializable
 
-/** Everything operators have configured, as of [revision]. */
+/**
+ * Everything operators have configured, as of [revision]. [revokedKeys] holds the keys revoked last, oldest first; they
+ * are refused for good, so that an older planning sheet cannot bring a revoked key back.
+ */
 @Serializable
 public data class OperatorConfiguration(
     val revision: Revision = Revision(0),
@@ -22,4 +25,5 @@
     val adapters: Map<AdapterId, Adapter> = emptyMap(),
     val routes: Map<RouteId, Route> = emptyMap(),
     val targets: Map<TargetId, Target> = emptyMap(),
+    val revokedKeys: Set<KeyDigest> = emptySet(),
 )
