--- /dev/null
+++ b/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/ItemKinds.kt
@@ -0,0 +1,28 @@
+package dev.bergamotwind.membership
+
+/** Kinds of digest items, with the names in their key and their values. The numbers are part of the protocol. */
+internal object ItemKinds {
+    /** Key: target. Values: age of the report in tenths of a second, running, queued, 1 if leaving. */
+    const val LOAD: Int = 1
+
+    /** Key: target, model, version, adapter or empty. Value: 1. */
+    const val ARTIFACT: Int = 2
+
+    /** Key: target, prefix. Value: 1. */
+    const val PREFIX: Int = 3
+
+    /** Key: team, model. Value: tokens a second. */
+    const val DEMAND: Int = 4
+
+    /** Key: failure domain. Values: age in tenths of a second, nodes, revision. */
+    const val DOMAIN: Int = 5
+
+    /** Key: failure domain, team, model. Value: tokens a second. */
+    const val DOMAIN_DEMAND: Int = 6
+
+    /** Key: failure domain, model. Values: targets, running, queued. */
+    const val DOMAIN_MODEL: Int = 7
+
+    /** Whether the first value of an item is the age of what it says. */
+    fun hasAge(kind: Int): Boolean = kind == LOAD || kind == DOMAIN
+}
--- a/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/Probe.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-package dev.bergamotwind.membership
-
-/** Placeholder. */
-public object Probe
--- /dev/null
+++ b/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/TrafficSnapshot.kt
@@ -0,0 +1,9 @@
+package dev.bergamotwind.membership
+
+/** Traffic with peers since the start. Bytes are those of frames, lengths included, without TCP/IP headers. */
+public data class TrafficSnapshot(
+    val sentBytes: Long,
+    val sentFrames: Long,
+    val receivedBytes: Long,
+    val receivedFrames: Long,
+)
