--- a/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/Defaults.kt
+++ b/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/Defaults.kt
@@ -57,3 +57,6 @@
 
 /** Time between two looks of the membership duty at what is due. */
 internal val TICK_INTERVAL: Duration = 50.milliseconds
+
+/** Most nodes that exchange digests in a full mesh. */
+public const val DEFAULT_MESH_LIMIT: Int = 24
--- a/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/Demand.kt
+++ b/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/Demand.kt
@@ -1,7 +1,7 @@
 package dev.bergamotwind.membership
 
+import dev.bergamotwind.api.AdapterId
 import dev.bergamotwind.api.ModelId
-import dev.bergamotwind.api.TeamId
 
-/** Tokens a second that a team asks of a model at one node, or in one failure domain. */
-public data class Demand(val team: TeamId, val model: ModelId, val tokensPerSecond: Long)
+/** Tokens a second that callers ask of [model], or of [adapter] of it, at one node or in one failure domain. */
+public data class Demand(val model: ModelId, val adapter: AdapterId?, val tokensPerSecond: Long)
--- a/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/DigestItems.kt
+++ b/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/DigestItems.kt
@@ -12,9 +12,14 @@
 internal object DigestItems {
     fun of(digest: LocalDigest, nowNanos: Long): List<Item> =
         digest.reports.flatMap { ofTarget(it, nowNanos) } + digest.demand.map {
-            Item(ItemKey(ItemKinds.DEMAND, listOf(it.team.value, it.model.value)), listOf(it.tokensPerSecond), nowNanos)
+            Item(ItemKey(ItemKinds.DEMAND, namesOf(it)), listOf(it.tokensPerSecond), nowNanos)
+        } + digest.rates.map {
+            val values = listOf(it.tokensPerSecond, it.largestRequest, it.unitsHeld.toLong())
+            Item(ItemKey(ItemKinds.RATE, listOf(it.team.value)), values, nowNanos)
         }
 
+    private fun namesOf(demand: Demand) = listOf(demand.model.value, demand.adapter?.value.orEmpty())
+
     private fun ofTarget(digest: TargetDigest, nowNanos: Long): List<Item> {
         val target = digest.target.value
         val load = listOf(digest.running.toLong(), digest.queued.toLong(), if (digest.leaving) 1L else 0L)
@@ -35,7 +40,7 @@
         val head = listOf(summary.nodes.toLong(), summary.revision.value)
         return listOf(Item(ItemKey(ItemKinds.DOMAIN, listOf(domain)), head, observed)) +
             summary.demand.map {
-                val key = ItemKey(ItemKinds.DOMAIN_DEMAND, listOf(domain, it.team.value, it.model.value))
+                val key = ItemKey(ItemKinds.DOMAIN_DEMAND, listOf(domain) + namesOf(it))
                 Item(key, listOf(it.tokensPerSecond), observed)
             } +
             summary.models.map {
@@ -47,7 +52,12 @@
     fun demand(items: Collection<Item>): List<Demand> =
         items.filter { it.key.kind == ItemKinds.DEMAND }.map { demandOf(it.key.names, it) }
 
-    private fun demandOf(names: List<String>, item: Item) = Demand(TeamId(names[0]), ModelId(names[1]), item.values[0])
+    private fun demandOf(names: List<String>, item: Item) =
+        Demand(ModelId(names[0]), names[1].takeIf { it.isNotEmpty() }?.let(::AdapterId), item.values[0])
+
+    fun rates(items: Collection<Item>): List<RateDemand> = items.filter { it.key.kind == ItemKinds.RATE }.map {
+        RateDemand(TeamId(it.key.names[0]), it.values[0], it.values[1], it.values[2].toInt())
+    }
 
     fun reports(items: Collection<Item>): List<TargetDigest> {
         val artifacts = items.filter { it.key.kind == ItemKinds.ARTIFACT }.groupBy { it.key.names[0] }
--- a/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/DomainSummaries.kt
+++ b/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/DomainSummaries.kt
@@ -6,7 +6,11 @@
 internal object DomainSummaries {
     fun of(domain: FailureDomainId, own: LocalDigest, peers: List<PeerStatus>, nowNanos: Long): DomainSummary {
         val live = peers.filter { it.connected && it.failureDomain == domain }
-        val demand = (live.flatMap { it.demand } + own.demand).groupBy { it.team to it.model }.map { (_, parts) ->
+        val demand = (
+            live.flatMap {
+                it.demand
+            } + own.demand
+            ).groupBy { it.copy(tokensPerSecond = 0) }.map { (_, parts) ->
             parts.first().copy(tokensPerSecond = parts.sumOf { it.tokensPerSecond })
         }
         val reports = live.flatMap { it.reports } + own.reports
--- a/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/ItemKinds.kt
+++ b/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/ItemKinds.kt
@@ -11,18 +11,21 @@
     /** Key: target, prefix. Value: 1. */
     const val PREFIX: Int = 3
 
-    /** Key: team, model. Value: tokens a second. */
+    /** Key: model, adapter or empty. Value: tokens a second. */
     const val DEMAND: Int = 4
 
     /** Key: failure domain. Values: age in tenths of a second, nodes, revision. */
     const val DOMAIN: Int = 5
 
-    /** Key: failure domain, team, model. Value: tokens a second. */
+    /** Key: failure domain, model, adapter or empty. Value: tokens a second. */
     const val DOMAIN_DEMAND: Int = 6
 
     /** Key: failure domain, model. Values: targets, running, queued. */
     const val DOMAIN_MODEL: Int = 7
 
+    /** Key: team. Values: tokens a second, estimate of the largest recent request, surplus units held. */
+    const val RATE: Int = 8
+
     /** Whether the first value of an item is the age of what it says. */
     fun hasAge(kind: Int): Boolean = kind == LOAD || kind == DOMAIN
 }
--- a/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/LocalDigest.kt
+++ b/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/LocalDigest.kt
@@ -13,4 +13,5 @@
     val draining: Boolean = false,
     val demand: List<Demand> = emptyList(),
     val reports: List<TargetDigest> = emptyList(),
+    val rates: List<RateDemand> = emptyList(),
 )
--- a/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/PeerLink.kt
+++ b/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/PeerLink.kt
@@ -62,6 +62,7 @@
         lastContactNanos,
         draining,
         DigestItems.demand(reader.all()),
+        DigestItems.rates(reader.all()),
         DigestItems.reports(reader.all()),
     ).also { status = it }
 
--- a/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/PeerStatus.kt
+++ b/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/PeerStatus.kt
@@ -20,6 +20,7 @@
     val lastContactNanos: Long,
     val draining: Boolean,
     val demand: List<Demand>,
+    val rates: List<RateDemand>,
     val reports: List<TargetDigest>,
 ) {
     /** Age of the peer's freshness at [nowNanos], or null when it is unknown. */
--- a/bergamotwind-membership/src/test/kotlin/dev/bergamotwind/membership/MembershipMeasurement.kt
+++ b/bergamotwind-membership/src/test/kotlin/dev/bergamotwind/membership/MembershipMeasurement.kt
@@ -6,7 +6,6 @@
 import dev.bergamotwind.api.ModelId
 import dev.bergamotwind.api.Revision
 import dev.bergamotwind.api.TargetId
-import dev.bergamotwind.api.TeamId
 import dev.bergamotwind.api.VmId
 import java.lang.management.ManagementFactory
 import java.net.InetAddress
@@ -44,7 +43,7 @@
     }
 
     fun publish(round: Int) = nodes.forEachIndexed { index, node ->
-        val demand = List(5) { Demand(TeamId("team-$it"), ModelId("model-${index % 34}"), random.nextLong(3) * 100) }
+        val demand = List(5) { Demand(ModelId("model-${(index + it) % 34}"), null, random.nextLong(3) * 100) }
         node.publish(
             LocalDigest(
                 Revision(round.toLong()),
--- a/bergamotwind-membership/src/test/kotlin/dev/bergamotwind/membership/MembershipSpec.kt
+++ b/bergamotwind-membership/src/test/kotlin/dev/bergamotwind/membership/MembershipSpec.kt
@@ -5,7 +5,6 @@
 import dev.bergamotwind.api.ModelId
 import dev.bergamotwind.api.Revision
 import dev.bergamotwind.api.TargetId
-import dev.bergamotwind.api.TeamId
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNull
@@ -17,7 +16,7 @@
 /** Guards against views that lack what peers publish, count freshness from too late, or survive a lost peer. */
 class MembershipSpec {
     private val nodes = mutableListOf<TestNode>()
-    private val demand = Demand(TeamId("t"), ModelId("m"), 12)
+    private val demand = Demand(ModelId("m"), null, 12)
 
     private fun start(vararg started: TestNode): List<TestNode> = started.toList().also {
         nodes += it
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/Defaults.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/Defaults.kt
@@ -7,6 +7,9 @@
 /** How often the VM list is read. Its lag is seconds, so reading more often gains nothing. */
 internal val VM_LIST_INTERVAL: Duration = 2.seconds
 
+/** How often this node takes over what peers have told, and tells them its own state. */
+internal val PEER_INTERVAL: Duration = 250.milliseconds
+
 /** How often the load reports of the targets that this node reads are read. */
 internal val REPORT_INTERVAL: Duration = 500.milliseconds
 
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/Node.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/Node.kt
@@ -11,9 +11,15 @@
 import dev.bergamotwind.configuration.IpEndpoint
 import dev.bergamotwind.configuration.NodeSettings
 import dev.bergamotwind.configuration.OperatorConfiguration
+import dev.bergamotwind.core.HybridLogicalClock
 import dev.bergamotwind.core.ReportingInvariantMonitor
 import dev.bergamotwind.core.TimeLine
 import dev.bergamotwind.core.event
+import dev.bergamotwind.membership.AdaptiveTopology
+import dev.bergamotwind.membership.Membership
+import dev.bergamotwind.membership.MembershipSettings
+import dev.bergamotwind.membership.NodeIdentity
+import dev.bergamotwind.membership.PeerAddress
 import dev.bergamotwind.platform.EtcdKeyValueService
 import dev.bergamotwind.platform.HttpEngineControl
 import dev.bergamotwind.platform.HttpVirtualMachineList
@@ -32,7 +38,8 @@
 /** One node: builds its parts from [settings], starts them in order and stops them gracefully. */
 internal class Node(private val settings: NodeSettings) {
     private val clock = SystemClock
-    private val timeLine = TimeLine(settings.vm.value)
+    private val hybridClock = HybridLogicalClock(clock)
+    private val timeLine = TimeLine(settings.vm.value, hybridClock)
     private val recorder = LoggingRecorder(timeLine)
     private val monitor = ReportingInvariantMonitor(recorder)
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
@@ -45,7 +52,17 @@
 
     private val log = ConfigurationLog(keyValue, clock)
     private val applied = AppliedConfiguration(monitor)
-    private val follower = ConfigurationFollower(keyValue, log, applied, { true }, clock, recorder)
+    private val fleet = FleetView(settings.vm, settings.failureDomain, applied) { membership.view() }
+    private val follower =
+        ConfigurationFollower(keyValue, log, applied, fleet::isConfigurationWatcher, clock, recorder)
+    private val membership: Membership = Membership(
+        membershipSettings(),
+        identity(),
+        PeerConfigurationExchange(applied) { follower.send(it) },
+        clock,
+        recorder,
+        hybridClock,
+    )
 
     private val admission = Admission(
         OperatorConfiguration(),
@@ -58,7 +75,7 @@
         RateShareDuty(RateShareLedger(keyValue, machines, settings.vm, clock, admission.rateShareHolder))
     private val table = TargetTable(monitor, clock)
     private val control = HttpEngineControl { id -> applied.current.targets[id]?.address }
-    private val reports = ReportReader(control, { applied.current.targets.keys }, table::reported)
+    private val reports = ReportReader(control, fleet::ownTargets) { peers.reported(it) }
     private val claims = ClaimStore(keyValue, settings.vm, clock, monitor)
     private val blocking = Executors.newFixedThreadPool(BLOCKING_THREADS) { work ->
         Thread(work, "blocking").apply { isDaemon = true }
@@ -69,14 +86,20 @@
     private val client = TargetClient()
     private val exchanges = ActiveExchanges()
 
-    private val placement = PlacementDuty(
+    private val placementView = PlacementView(applied, table, control, settings.failureDomain)
+    private val placement = PlacementDuty(settings, keyValue, control, placementView, clock, monitor, recorder)
+    private val peers: PeerDuty = PeerDuty(
         settings,
-        keyValue,
-        control,
-        PlacementView(applied, table, control, settings.failureDomain),
+        membership,
+        machines,
+        fleet,
+        applied,
+        admission,
+        rateShares,
+        table,
+        placementView,
+        life,
         clock,
-        monitor,
-        recorder,
     )
 
     @Volatile
@@ -118,6 +141,8 @@
         applied.listen(::apply)
         NodeMetrics(registry, admission, exchanges, applied, monitor, clock).register()
         admission.start()
+        membership.start()
+        peers.start()
         follower.start()
         rateShares.start()
         reports.start()
@@ -144,6 +169,7 @@
         monitor.check(Invariant.GRACEFUL_STOP, exchanges.size == 0) { "interrupted=${exchanges.size}" }
         callerServer.stop().join()
         placement.close()
+        peers.close()
         rateShares.close()
         reports.close()
         maintenance.shutdown()
@@ -166,7 +192,10 @@
     }
 
     private fun awaitConfiguration() {
-        while (applied.freshnessAge(clock.monotonicNanos()).isInfinite()) sleep(START_POLL_MILLIS)
+        // In an outage of the platform the configuration of a peer will do.
+        while (applied.freshnessAge(clock.monotonicNanos()).isInfinite() && applied.current.revision.value == 0L) {
+            sleep(START_POLL_MILLIS)
+        }
     }
 
     private fun onAccepted() {
@@ -190,7 +219,7 @@
             placementOwner = placement.isOwner,
             queuedRequests = admission.snapshot.queueLength,
             invariantViolations = Invariant.entries.associate { it.name to monitor.violations(it) },
-            peers = emptyList(),
+            peers = membership.view().peers.map(::peerStatus),
             targets = table.status().map { target ->
                 TargetStatus(
                     target.target.id,
@@ -202,6 +231,23 @@
         )
     }
 
+    private fun peerStatus(peer: dev.bergamotwind.membership.PeerStatus): PeerStatus {
+        val silence = TimeUnit.NANOSECONDS.toMillis(clock.monotonicNanos() - peer.lastContactNanos)
+        return PeerStatus(peer.id, peer.revision.value, peer.connected, silence, peer.draining)
+    }
+
+    private fun identity() = NodeIdentity(settings.vm, settings.failureDomain, ownPeerEndpoint())
+
+    private fun ownPeerEndpoint(): String =
+        IpEndpoint(settings.listen.addresses.first(), settings.listen.peerPort).toString()
+
+    private fun membershipSettings() = MembershipSettings(
+        ownPeerEndpoint(),
+        settings.peerSecret.encoded(),
+        settings.peers.map { PeerAddress(it.toString(), settings.failureDomain) },
+        AdaptiveTopology(),
+    )
+
     private fun platformClient(endpoints: List<IpEndpoint>) = PlatformClient(
         PlatformSettings(endpoints.map { it.toString() }, settings.limits.keyValueCallsPerSecond),
         registry,
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PeerStatus.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PeerStatus.kt
@@ -5,4 +5,10 @@
 
 /** What a node knows about a peer. Tells operators on which nodes a revision is in effect. */
 @Serializable
-internal data class PeerStatus(val vm: VmId, val revision: Long, val lastContactMillis: Long, val draining: Boolean)
+internal data class PeerStatus(
+    val vm: VmId,
+    val revision: Long,
+    val connected: Boolean,
+    val lastContactMillis: Long,
+    val draining: Boolean,
+)
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PlacementDuty.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PlacementDuty.kt
@@ -58,7 +58,7 @@
         demand.observe(message.model, message.adapter, message.tokens)
 
     override fun tick(nowNanos: Long) {
-        view.demand = demand.update(nowNanos)
+        view.ownDemand = demand.update(nowNanos)
         isOwner = controller.step().state != StepState.NOT_OWNER && ownership.current() != null
     }
 
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PlacementView.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PlacementView.kt
@@ -10,6 +10,7 @@
 import dev.bergamotwind.api.TargetId
 import dev.bergamotwind.configuration.AppliedConfiguration
 import dev.bergamotwind.configuration.OperatorConfiguration
+import dev.bergamotwind.membership.Demand
 import dev.bergamotwind.placement.DemandEstimate
 import dev.bergamotwind.placement.PlacementSources
 import dev.bergamotwind.routing.TargetTable
@@ -21,13 +22,28 @@
     private val control: EngineControl,
     private val failureDomain: FailureDomainId,
 ) : PlacementSources {
-    /** Demand of the whole fleet; set by the placement duty. */
+    /** Demand at this node; set by the placement duty. */
     @Volatile
-    var demand: DemandEstimate = DemandEstimate()
+    var ownDemand: DemandEstimate = DemandEstimate()
+
+    /** Demand at other nodes and in other failure domains; set by the peer duty. */
+    @Volatile
+    var peerDemand: List<Demand> = emptyList()
 
     override fun configuration(): OperatorConfiguration = applied.current
 
-    override fun demand(): DemandEstimate = demand
+    override fun demand(): DemandEstimate {
+        val (models, adapters) = peerDemand.partition { it.adapter == null }
+        return DemandEstimate(
+            summed(ownDemand.models, models.groupBy { it.model }),
+            summed(ownDemand.adapters, adapters.groupBy { it.adapter!! }),
+        )
+    }
+
+    private fun <K> summed(own: Map<K, Double>, others: Map<K, List<Demand>>): Map<K, Double> =
+        (own.keys + others.keys).associateWith { key ->
+            (own[key] ?: 0.0) + others[key].orEmpty().sumOf { it.tokensPerSecond }
+        }
 
     override fun report(target: TargetId): Either<Failure, EngineReport> =
         if (applied.current.targets[target]?.failureDomain == failureDomain) {
--- a/bergamotwind-node/src/test/kotlin/dev/bergamotwind/node/Deployment.kt
+++ b/bergamotwind-node/src/test/kotlin/dev/bergamotwind/node/Deployment.kt
@@ -37,6 +37,7 @@
 import dev.bergamotwind.test.ServiceServer
 import dev.bergamotwind.test.TargetFaults
 import kotlinx.serialization.json.Json
+import java.net.ServerSocket
 import java.util.concurrent.CompletableFuture
 
 /** Two nodes, two engines, a plain service with two replicas and a platform, in one process on loopback. */
@@ -55,7 +56,8 @@
             VirtualMachine(VmId(it), FailureDomainId("lowlands"), "127.0.0.1", VirtualMachineState.LIVE)
         }
         platform.virtualMachines(machines)
-        nodes = machines.map { Node(settings(it.id)).start() }
+        val ports = machines.map { ServerSocket(0).use { socket -> socket.localPort } }
+        nodes = machines.mapIndexed { index, machine -> Node(settings(machine.id, ports[index], ports)).start() }
         change("deployment", configuration())
         await("rate shares and reports") {
             nodes.all { node ->
@@ -171,7 +173,7 @@
         ),
     )
 
-    private fun settings(vm: VmId): NodeSettings = NodeSettings.parse(
+    private fun settings(vm: VmId, peerPort: Int, peerPorts: List<Int>): NodeSettings = NodeSettings.parse(
         "test.toml",
         """
         vm = "$vm"
@@ -181,7 +183,7 @@
         addresses = ["127.0.0.1"]
         caller_port = 0
         administration_port = 0
-        peer_port = 0
+        peer_port = $peerPort
         [platform]
         key_value_service = ["${platform.endpoint}"]
         virtual_machine_list = ["${platform.endpoint}"]
@@ -189,6 +191,7 @@
         credential_sha256 = "${keyDigest("operator").value}"
         [peers]
         shared_secret = "a shared secret for the tests of the nodes"
+        addresses = [${peerPorts.joinToString { "\"127.0.0.1:$it\"" }}]
         [limits]
         balancer_lag_milliseconds = 50
         maximum_body_bytes = 65536
