--- a/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/ScoredPolicy.kt
+++ b/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/ScoredPolicy.kt
@@ -13,47 +13,73 @@
  */
 public class ScoredPolicy(private val random: Random) : TargetSelectionPolicy {
     private var scores = LongArray(0)
+    private var distances = LongArray(0)
 
     override fun choose(candidates: List<TargetView>, query: TargetQuery): TargetView {
         if (candidates.size == 1) return candidates[0]
-        if (scores.size < candidates.size) scores = LongArray(candidates.size * 2)
-        score(candidates, query)
+        if (scores.size < candidates.size) {
+            scores = LongArray(candidates.size * 2)
+            distances = LongArray(candidates.size * 2)
+        }
+        for (index in candidates.indices) {
+            val candidate = candidates[index]
+            distances[index] = distance(candidate, query).inWholeNanoseconds
+            scores[index] = distances[index] + expectedNanos(candidate, query)
+        }
+        query.prefixHash?.let { preferPrefix(candidates, it) }
+        return candidates[indexOfBest(candidates.size)]
+    }
+
+    private fun indexOfBest(count: Int): Int {
         var best = Long.MAX_VALUE
-        for (index in candidates.indices) best = minOf(best, scores[index])
+        for (index in 0 until count) best = minOf(best, scores[index])
         val limit = best + SCORE_TOLERANCE.inWholeNanoseconds
-        var equals = 0
-        for (index in candidates.indices) if (scores[index] < limit) equals++
+        val equals = (0 until count).count { scores[it] < limit }
         var remaining = random.nextInt(equals)
-        return candidates[candidates.indices.first { scores[it] < limit && remaining-- == 0 }]
+        return (0 until count).first { scores[it] < limit && remaining-- == 0 }
     }
 
-    private fun score(candidates: List<TargetView>, query: TargetQuery) {
-        for (index in candidates.indices) scores[index] = expectedNanos(candidates[index], query)
-        val prefix = query.prefixHash ?: return
-        // Targets further away carry less load; counted in, they would deny the bonus to all near ones.
-        val nearest = candidates.minOf { distance(it, query) }
-        val near = candidates.indices.filter { distance(candidates[it], query) == nearest }
-        val mean = (near.sumOf { loadOf(candidates[it]) } + 1).toDouble() / near.size
-        val bound = ceil(mean * PREFIX_LOAD_BOUND).toInt()
-        val home = homeOf(prefix, candidates, near)
+    /**
+     * Lowers the score of targets with a warm [prefix], and of the home of the prefix: by rendezvous hashing, every
+     * node finds the same home among the nearest targets, and few homes change with the set of targets.
+     */
+    private fun preferPrefix(candidates: List<TargetView>, prefix: String) {
+        var nearest = Long.MAX_VALUE
+        for (index in candidates.indices) nearest = minOf(nearest, distances[index])
+        val seed = prefix.hashCode().toLong() shl Int.SIZE_BITS
+        var load = 1
+        var near = 0
+        var home = -1
+        var greatest = Long.MIN_VALUE
+        for (index in candidates.indices) {
+            // Targets further away carry less load; counted in, they would deny the bonus to all near ones.
+            if (distances[index] != nearest) continue
+            near++
+            load += loadOf(candidates[index])
+            val hash = SplittableRandom(seed xor candidates[index].target.id.value.hashCode().toLong()).nextLong()
+            if (hash >= greatest) home = index
+            greatest = maxOf(greatest, hash)
+        }
+        val bound = ceil(load.toDouble() / near * PREFIX_LOAD_BOUND).toInt()
         for (index in candidates.indices) {
             // Without the bound, one popular prefix would lead all its requests to one target.
-            if (loadOf(candidates[index]) + 1 > bound) continue
-            scores[index] -= when {
-                candidates[index].isWarm(prefix) -> WARM_PREFIX_BONUS.inWholeNanoseconds
-                index == home -> HOME_PREFIX_BONUS.inWholeNanoseconds
-                else -> 0
-            }
+            if (loadOf(candidates[index]) + 1 <= bound) scores[index] -= bonus(candidates[index], prefix, index == home)
         }
     }
 
+    private fun bonus(candidate: TargetView, prefix: String, home: Boolean): Long = when {
+        candidate.isWarm(prefix) -> WARM_PREFIX_BONUS.inWholeNanoseconds
+        home -> HOME_PREFIX_BONUS.inWholeNanoseconds
+        else -> 0
+    }
+
     private fun loadOf(candidate: TargetView): Int = candidate.running + candidate.queued
 
     private fun expectedNanos(candidate: TargetView, query: TargetQuery): Long {
         val adapter = (query.need as? TargetNeed.Engine)?.adapter
         val penalty = if (candidate.state == TargetEntry.HEALTHY) Duration.ZERO else SUSPECT_PENALTY
         return candidate.predictedFirstTokenNanos + adapterLoad(candidate, adapter).inWholeNanoseconds +
-            distance(candidate, query).inWholeNanoseconds + penalty.inWholeNanoseconds
+            penalty.inWholeNanoseconds
     }
 
     private fun adapterLoad(candidate: TargetView, adapter: AdapterId?): Duration =
@@ -68,12 +94,4 @@
         candidate.region == query.region -> SAME_REGION_DISTANCE
         else -> OTHER_REGION_DISTANCE
     }
-
-    /** Rendezvous hash: every node finds the same home of a prefix, and few homes change with the set of targets. */
-    private fun homeOf(prefix: String, candidates: List<TargetView>, near: List<Int>): Int {
-        val seed = prefix.hashCode().toLong() shl Int.SIZE_BITS
-        return near.maxBy { index ->
-            SplittableRandom(seed xor candidates[index].target.id.value.hashCode().toLong()).nextLong()
-        }
-    }
 }
--- a/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/TargetEntry.kt
+++ b/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/TargetEntry.kt
@@ -17,7 +17,6 @@
     private val machine = StateMachine(CHART, monitor)
     private val correction = LoadCorrection()
     private val signals = EnumMap<LeavingSignal, Long>(LeavingSignal::class.java)
-    private var models: Set<ModelId> = emptySet()
     private var adapters: Map<AdapterId, ArtifactState> = emptyMap()
     private var warmPrefixes: Set<String> = emptySet()
     private var baseNanos = ASSUMED_FIRST_TOKEN.inWholeNanoseconds.toDouble()
@@ -27,6 +26,10 @@
     private var ejectedUntilNanos = 0L
     private var leavingSinceNanos = 0L
 
+    /** Models that the engine has reported as loaded, in any version. */
+    var models: Set<ModelId> = emptySet()
+        private set
+
     var report: EngineReport? = null
         private set
 
@@ -45,15 +48,14 @@
 
     override fun isWarm(prefixHash: String): Boolean = prefixHash in warmPrefixes
 
-    fun hasModel(model: ModelId): Boolean = model in models
-
     fun servesWholeRequests(): Boolean = report.let { it == null || it.role == EngineRole.BOTH }
 
-    /** Takes in [received] unless it is older than the last one. */
-    fun reported(received: EngineReport, nowNanos: Long) {
+    /** Takes in [received] unless it is older than the last one; true when other models are loaded now. */
+    fun reported(received: EngineReport, nowNanos: Long): Boolean {
         val known = report
         val silent = nowNanos - reportNanos > REPORT_ORDER_LIMIT.inWholeNanoseconds
-        if (known != null && received.wallMillis <= known.wallMillis && !silent) return
+        if (known != null && received.wallMillis <= known.wallMillis && !silent) return false
+        val modelsBefore = models
         if (known?.artifacts != received.artifacts) {
             val loaded = received.artifacts.filter { it.state == ArtifactState.LOADED && it.artifact.adapter == null }
             models = loaded.mapTo(HashSet()) { it.artifact.model }
@@ -64,6 +66,7 @@
         reportNanos = nowNanos
         correction.reported(nowNanos)
         signal(LeavingSignal.REPORT, received.leaving, nowNanos)
+        return models != modelsBefore
     }
 
     fun started(nowNanos: Long) {
--- a/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/TargetTable.kt
+++ b/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/TargetTable.kt
@@ -10,6 +10,7 @@
 import dev.bergamotwind.api.FailureDomainId
 import dev.bergamotwind.api.Invariant
 import dev.bergamotwind.api.InvariantMonitor
+import dev.bergamotwind.api.ModelId
 import dev.bergamotwind.api.RouteId
 import dev.bergamotwind.api.SystemClock
 import dev.bergamotwind.api.TargetId
@@ -26,6 +27,8 @@
 public class TargetTable(private val monitor: InvariantMonitor, private val clock: Clock = SystemClock) {
     private val entries = TreeMap<TargetId, TargetEntry>()
     private var engines: List<TargetEntry> = emptyList()
+    private var enginesByModel: Map<ModelId, List<TargetEntry>> = emptyMap()
+    private var modelsChanged = false
     private var services: Map<RouteId, List<TargetEntry>> = emptyMap()
 
     /** Takes over the targets of [configuration]; a target that is no longer configured gets no new work. */
@@ -51,7 +54,8 @@
     /** Takes in [report], whether read from the target or received from a peer. */
     @Synchronized
     public fun reported(report: EngineReport) {
-        entries[report.target]?.reported(report, clock.monotonicNanos())
+        val entry = entries[report.target] ?: return
+        if (entry.reported(report, clock.monotonicNanos())) modelsChanged = true
     }
 
     /** Notes that [signal] says whether [target] is leaving. */
@@ -125,7 +129,8 @@
         is TargetNeed.Service -> services[need.route].orEmpty()
 
         is TargetNeed.Engine -> {
-            val loaded = engines.filter { it.hasModel(need.model) }
+            indexModels()
+            val loaded = enginesByModel[need.model].orEmpty()
             loaded.filter { it.servesWholeRequests() }.ifEmpty { loaded }.ifEmpty { unreported(query.failureDomain) }
         }
     }
@@ -141,6 +146,16 @@
         services = buildMap<RouteId, MutableList<TargetEntry>> {
             for (replica in replicas) replica.target.route?.let { getOrPut(it, ::mutableListOf).add(replica) }
         }
+        modelsChanged = true
+    }
+
+    /** Done at the next selection, so that a round of first reports costs one pass. */
+    private fun indexModels() {
+        if (!modelsChanged) return
+        modelsChanged = false
+        enginesByModel = buildMap<ModelId, MutableList<TargetEntry>> {
+            for (engine in engines) for (model in engine.models) getOrPut(model, ::mutableListOf).add(engine)
+        }
     }
 
     private fun nameOf(need: TargetNeed): String = when (need) {
--- a/bergamotwind-routing/src/test/kotlin/dev/bergamotwind/routing/ClaimStoreSpec.kt
+++ b/bergamotwind-routing/src/test/kotlin/dev/bergamotwind/routing/ClaimStoreSpec.kt
@@ -1,27 +1,32 @@
 package dev.bergamotwind.routing
 
-import dev.bergamotwind.api.Clock
 import dev.bergamotwind.api.EventRecorder
+import dev.bergamotwind.api.Failure
 import dev.bergamotwind.api.Invariant
 import dev.bergamotwind.api.RequestId
 import dev.bergamotwind.api.RouteId
+import dev.bergamotwind.api.RunOutcome
 import dev.bergamotwind.api.TeamId
 import dev.bergamotwind.api.VmId
 import dev.bergamotwind.core.ReportingInvariantMonitor
+import dev.bergamotwind.test.ExecutionLedger
 import dev.bergamotwind.test.InMemoryKeyValueService
 import dev.bergamotwind.test.KeyValueFaults
 import dev.bergamotwind.test.ManualClock
 import dev.bergamotwind.test.ThrowingInvariantMonitor
+import dev.bergamotwind.test.UnreliableKeyValueService
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
 
-/** Guards the answer that a repeat gets, the retention of claims and the separation of teams. */
+/** Guards against a second run of a claimed call, untrue "not run" answers, wrong repeats and mixed-up teams. */
 class ClaimStoreSpec {
     data class Case(
         val name: String,
@@ -37,12 +42,13 @@
     private val service = InMemoryKeyValueService(clock)
     private val faults = KeyValueFaults()
 
-    private fun store(vm: String, clock: Clock = this.clock) =
-        ClaimStore(service.client(faults), VmId(vm), clock, ThrowingInvariantMonitor)
+    private fun store(vm: String) = ClaimStore(service.client(faults), VmId(vm), clock, ThrowingInvariantMonitor)
 
     private fun ClaimStore.claim(request: String, digest: String = "d", key: String = "k") =
         claim(TeamId("t"), RouteId("r"), key, digest, RequestId(request))
 
+    private fun ClaimStore.acquired() = (claim("first").getOrNull() as ClaimOutcome.Acquired).claim
+
     private fun ClaimStore.result(digest: String = "d", key: String = "k"): String =
         claim("second", digest, key).fold({ "${it.status} ${it.code} ${it.run.label}" }, { it.javaClass.simpleName })
 
@@ -50,8 +56,7 @@
     @MethodSource("cases")
     fun `a repeat is answered when`(case: Case) {
         val holder = store("vm-1")
-        val claim = (holder.claim("first").getOrNull() as ClaimOutcome.Acquired).claim
-        case.holder(holder, claim)
+        case.holder(holder, holder.acquired())
         clock.advance(case.wait)
         assertEquals(case.expected, store("vm-2").result(case.digest))
     }
@@ -81,7 +86,7 @@
     @Test
     fun `records an answer that could not be written during an outage`() {
         val store = store("vm-1")
-        val claim = (store.claim("first").getOrNull() as ClaimOutcome.Acquired).claim
+        val claim = store.acquired()
         faults.available = false
         store.complete(claim, RecordedAnswer.of(200, null, ByteArray(1)))
         faults.available = true
@@ -91,7 +96,7 @@
 
     @Test
     fun `a process that was paused beyond the retention cannot send`() {
-        val claim = (store("vm-1").claim("first").getOrNull() as ClaimOutcome.Acquired).claim
+        val claim = store("vm-1").acquired()
         clock.advance(26.hours)
         assertEquals("Acquired", store("vm-2").result())
         assertTrue(claim.beginSend().isLeft())
@@ -101,7 +106,7 @@
     fun `a release or a second send after sending has no effect and is reported`() {
         val monitor = ReportingInvariantMonitor(EventRecorder.None)
         val store = ClaimStore(service.client(), VmId("vm-1"), clock, monitor)
-        val claim = (store.claim("first").getOrNull() as ClaimOutcome.Acquired).claim
+        val claim = store.acquired()
         assertTrue(claim.beginSend().isRight())
         store.release(claim)
         assertEquals("409 in_progress unknown", store("vm-2").result())
@@ -130,31 +135,112 @@
         assertEquals(setOf(5), keys.map { key -> key.count { it == '/' } }.toSet())
     }
 
+    @Test
+    fun `runs each key at most once and answers not run only when that is true`() {
+        var runs = 0
+        var repeats = 0
+        for (round in 0 until 100) {
+            val world = World(System.getProperty("seed", "1").toLong() + round)
+            repeat(System.getProperty("steps", "400").toInt()) { world.step() }
+            world.ledger.verify()
+            runs += world.ledger.size
+            repeats += world.repeatsAnswered
+        }
+        assertTrue(runs > 100 && repeats > 0) { "runs=$runs repeats=$repeats: the rounds tested nothing" }
+    }
+
+    private class Node(val number: Int, service: InMemoryKeyValueService, val clock: ManualClock, random: Random) {
+        val link = UnreliableKeyValueService.of(service, random)
+        private var incarnation = 0
+        var store = started()
+
+        fun started() =
+            ClaimStore(link, VmId("vm-$number"), clock, ThrowingInvariantMonitor, "p$number-${incarnation++}")
+    }
+
+    private data class Held(val node: Node, val store: ClaimStore, val key: String, val claim: Claim)
+
+    private class World(seed: Long) {
+        val random = Random(seed)
+        val clock = ManualClock()
+        val service = InMemoryKeyValueService(clock)
+        val nodes = List(4) { Node(it, service, clock, random) }
+        val held = mutableListOf<Held>()
+        val ledger = ExecutionLedger()
+        val answers = mutableMapOf<String, RecordedAnswer>()
+        var requests = 0
+        var repeatsAnswered = 0
+
+        fun step() {
+            when (random.nextInt(12)) {
+                in 0..3 -> call(nodes.random(random), "key-${random.nextInt(12)}")
+                in 4..7 -> if (held.isNotEmpty()) advance(held.removeAt(random.nextInt(held.size)))
+                8 -> die(nodes.random(random))
+                9 -> nodes.random(random).link.disturb()
+                10 -> nodes.random(random).run { if (random.nextBoolean()) link.deliver() else store.maintain() }
+                else -> clock.advance(random.nextInt(40).seconds)
+            }
+        }
+
+        private fun call(node: Node, key: String) {
+            val request = RequestId("request-${requests++}")
+            node.store.claim(TeamId("t"), RouteId("r"), key, "digest", request).fold({
+                if (it.run == RunOutcome.NOT_RUN) ledger.answeredNotRun(request)
+                assertTrue(it is Failure.Unavailable || it is Failure.AlreadyClaimed) { "$it" }
+            }) {
+                when (it) {
+                    is ClaimOutcome.Acquired -> held += Held(node, node.store, key, it.claim)
+
+                    is ClaimOutcome.AlreadyDone -> {
+                        repeatsAnswered++
+                        assertEquals(answers[key], it.answer) { "answer of another call for $key" }
+                    }
+                }
+            }
+        }
+
+        private fun advance(work: Held) {
+            if (random.nextInt(4) == 0) {
+                work.store.release(work.claim)
+                ledger.answeredNotRun(work.claim.request)
+                assertTrue(work.claim.beginSend().isLeft()) { "a released claim can be sent" }
+                return
+            }
+            if (work.claim.beginSend().isLeft()) return work.store.release(work.claim)
+            ledger.ran(work.key, work.claim.request)
+            val answer = RecordedAnswer.of(200, "text/plain", work.claim.request.value.toByteArray())
+            when (random.nextInt(6)) {
+                0 -> work.store.markUnknown(work.claim)
+                1 -> die(work.node)
+                else -> work.store.complete(work.claim, answer).also { answers[work.key] = answer }
+            }
+        }
+
+        /** Half of the processes only seem dead: their claims stay and are used later, as after a long pause. */
+        private fun die(node: Node) {
+            if (random.nextBoolean()) held.removeAll { it.node === node }
+            node.store = node.started()
+        }
+    }
+
     companion object {
-        private fun answer(bytes: Int) = RecordedAnswer.of(201, "application/json", ByteArray(bytes))
+        private fun done(bytes: Int): (ClaimStore, Claim) -> Unit = { store, claim ->
+            claim.beginSend()
+            store.complete(claim, RecordedAnswer.of(201, "application/json", ByteArray(bytes)))
+        }
+
+        private val sent: (ClaimStore, Claim) -> Unit = { _, claim -> claim.beginSend() }
 
         @JvmStatic
         fun cases() = listOf(
-            Case("the holder works", "409 in_progress unknown") { _, claim -> claim.beginSend() },
-            Case("the holder died", "409 unknown unknown", wait = 1.minutes) { _, claim -> claim.beginSend() },
-            Case("the holder released the claim", "Acquired") { store, claim -> store.release(claim) },
-            Case("the outcome is unknown", "409 unknown unknown") { store, claim ->
-                claim.beginSend()
-                store.markUnknown(claim)
-            },
-            Case("the call is done", "AlreadyDone", wait = 24.hours) { store, claim ->
-                claim.beginSend()
-                store.complete(claim, answer(10))
-            },
-            Case("the answer was too large", "409 already_run run") { store, claim ->
-                claim.beginSend()
-                store.complete(claim, answer(RECORDED_BODY_LIMIT_BYTES + 1))
-            },
-            Case("the body differs", "422 idempotency_key_reused not_run", digest = "e") { store, claim ->
-                claim.beginSend()
-                store.complete(claim, answer(10))
-            },
-            Case("retention has ended", "Acquired", wait = 26.hours) { _, claim -> claim.beginSend() },
+            Case("the holder works", "409 in_progress unknown", holder = sent),
+            Case("the holder died", "409 unknown unknown", wait = 1.minutes, holder = sent),
+            Case("the holder released the claim", "Acquired", holder = ClaimStore::release),
+            Case("the outcome is unknown", "409 unknown unknown", holder = ClaimStore::markUnknown),
+            Case("the call is done", "AlreadyDone", wait = 24.hours, holder = done(10)),
+            Case("the answer was too large", "409 already_run run", holder = done(RECORDED_BODY_LIMIT_BYTES + 1)),
+            Case("the body differs", "422 idempotency_key_reused not_run", digest = "e", holder = done(10)),
+            Case("retention has ended", "Acquired", wait = 26.hours, holder = sent),
         )
     }
 }
--- a/bergamotwind-routing/src/test/kotlin/dev/bergamotwind/routing/StreamAssemblerSpec.kt
+++ b/bergamotwind-routing/src/test/kotlin/dev/bergamotwind/routing/StreamAssemblerSpec.kt
@@ -1,6 +1,7 @@
 package dev.bergamotwind.routing
 
 import dev.bergamotwind.api.RequestId
+import dev.bergamotwind.test.ModelStream
 import dev.bergamotwind.test.ThrowingInvariantMonitor
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.jsonObject
@@ -15,27 +16,10 @@
 
 /** Guards against tokens that are lost or sent twice, and against a terminal event after half an answer. */
 class StreamAssemblerSpec {
-    data class Shape(val chat: Boolean, val offsets: Boolean, val chunkTokens: Int, val overlap: Int)
-
     data class Case(val name: String, val expected: String, val events: List<String>) {
         override fun toString() = name
     }
 
-    /** Streams the tokens from [from] on like an engine; with offsets, it may repeat some. */
-    private fun stream(shape: Shape, from: Int, id: String): ByteArray = buildString {
-        val start = if (shape.offsets) maxOf(from - shape.overlap, 0) else from
-        if (shape.chat) append("data: {\"id\":\"$id\",\"choices\":[{\"delta\":{\"role\":\"assistant\"}}]}\n\n")
-        for (chunk in (start until TOKENS.size).chunked(if (shape.offsets) shape.chunkTokens else 1)) {
-            val text = Json.encodeToString(chunk.joinToString("") { TOKENS[it] })
-            val fields = if (shape.offsets) "\"offset\":${chunk.first()},\"tokens\":${chunk.size}," else ""
-            append("data: {\"id\":\"$id\",$fields\"choices\":[")
-            append(if (shape.chat) "{\"delta\":{\"content\":$text}}" else "{\"text\":$text}").append("]}\r\n\r\n")
-        }
-        append(": comment\n\n")
-        append("data: {\"id\":\"$id\",\"usage\":{},\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n")
-        append("data: [DONE]\n\n")
-    }.encodeToByteArray()
-
     private class Caller(val assembler: StreamAssembler) {
         val text = StringBuilder()
         val ids = mutableSetOf<String?>()
@@ -70,9 +54,9 @@
 
     @ParameterizedTest
     @MethodSource("shapes")
-    fun `each token arrives once when the stream is cut at every byte and resumed`(shape: Shape) {
+    fun `each token arrives once when the stream is cut at every byte and resumed`(shape: ModelStream) {
         val random = Random(System.getProperty("seed", "1").toLong())
-        val whole = stream(shape, 0, "first")
+        val whole = shape.bytes(0, "first")
         for (cut in 0..whole.size) {
             val caller = Caller(StreamAssembler("""{"prompt":"p"}""", ThrowingInvariantMonitor))
             var broke = caller.receive(AttemptId(REQUEST, 1), whole.copyOf(cut), random)
@@ -82,7 +66,7 @@
                 assertEquals(0, caller.terminals)
                 val body = Json.parseToJsonElement(caller.assembler.resumeBody()!!).jsonObject
                 val offset = body["resume_offset"]?.jsonPrimitive?.content?.toInt() ?: 0
-                val rest = stream(shape, offset, "attempt-$number")
+                val rest = shape.bytes(offset, "attempt-$number")
                 val length = if (number < 4) random.nextInt(rest.size) else rest.size
                 broke = caller.receive(AttemptId(REQUEST, number++), rest.copyOf(length), random)
             }
@@ -111,6 +95,14 @@
         assertNull(assembler.resumeBody())
     }
 
+    @Test
+    fun `an event counts only when its blank line has come, and only within the size limit`() {
+        val reader = ServerSentEventReader(limitBytes = 20)
+        assertEquals(listOf<String>(), reader.read("event: e\ndata: a\nid: 1\n: c\ndata:b\n".toByteArray()).getOrNull())
+        assertEquals(listOf("a\nb", "c"), reader.read("\r\n\n\ndata: c\n\ndata: d".toByteArray()).getOrNull())
+        assertTrue(reader.read("\ndata: 123456789".toByteArray()).isLeft())
+    }
+
     companion object {
         private val REQUEST = RequestId("request")
         private val ATTEMPT = AttemptId(REQUEST, 1)
@@ -122,8 +114,8 @@
 
         @JvmStatic
         fun shapes() = listOf(true, false).flatMap { chat ->
-            listOf(Shape(chat, false, 1, 0)) + (1..3).flatMap { tokens ->
-                listOf(0, tokens, 3 * tokens).map { Shape(chat, true, tokens, it) }
+            listOf(ModelStream(TOKENS, chat)) + (1..3).flatMap { tokens ->
+                listOf(0, tokens, 3 * tokens).map { ModelStream(TOKENS, chat, true, tokens, it) }
             }
         }
 
--- a/bergamotwind-routing/src/test/kotlin/dev/bergamotwind/routing/TargetFixture.kt
+++ b/bergamotwind-routing/src/test/kotlin/dev/bergamotwind/routing/TargetFixture.kt
@@ -18,68 +18,72 @@
 import dev.bergamotwind.test.ManualClock
 import dev.bergamotwind.test.ThrowingInvariantMonitor
 import kotlin.random.Random
+import kotlin.time.Duration
 
-/** Engines `e0`.. with model `m`, of which every third is in each of the domains `near`, `next` and `far`. */
-class TargetFixture(count: Int, val clock: ManualClock = ManualClock(1_000_000_000_000), seed: Long = 1) {
+/** Engines `e0`.. with model `m`, in the domains `near`, `next` (same region) and `far` in turn. */
+class TargetFixture(count: Int, seed: Long = 1) {
+    val clock = ManualClock(1_000_000_000_000)
     val table = TargetTable(ThrowingInvariantMonitor, clock)
-    val selector = TargetSelector(table, ScoredPolicy(Random(seed)))
+    private val selector = TargetSelector(table, ScoredPolicy(Random(seed)))
+    private val regions = mapOf("near" to "here", "next" to "here", "far" to "there")
+    private val domains = regions.map { (id, region) -> FailureDomain(FailureDomainId(id), RegionId(region)) }
     private var wallMillis = 0L
-    private var targets = (0 until count).map { engine("e$it", DOMAINS[it % 3]) }
+    private var targets = (0 until count).map {
+        Target(TargetId("e$it"), TargetKind.ENGINE, domains[it % 3].id, "127.0.0.1:${1000 + it}")
+    }
 
     init {
         configure { it }
     }
 
-    fun configure(change: (List<Target>) -> List<Target>) {
-        targets = change(targets)
-        val regions = mapOf("near" to "here", "next" to "here", "far" to "there")
-        val domains = DOMAINS.map { FailureDomain(FailureDomainId(it), RegionId(regions.getValue(it))) }
+    fun configure(change: (Target) -> Target?) = apply {
+        targets = targets.mapNotNull(change)
         table.configure(
             OperatorConfiguration(
-                failureDomains = domains.associateBy { it.id },
+                failureDomains = domains.associateBy {
+                    it.id
+                },
                 targets = targets.associateBy { it.id },
             ),
         )
     }
 
-    fun report(id: String, running: Int = 0, queued: Int = 0, change: (EngineReport) -> EngineReport = { it }) {
-        val artifacts = listOf(ArtifactReport(MODEL, ArtifactState.LOADED, Mebibytes(1)))
-        table.reported(
-            change(EngineReport(TargetId(id), ++wallMillis, running, queued, Mebibytes(9), artifacts = artifacts)),
-        )
+    fun report(id: String, running: Int = 0, queued: Int = 0, change: (EngineReport) -> EngineReport = { it }) = apply {
+        val model = listOf(artifact(null))
+        table.reported(change(EngineReport(TargetId(id), ++wallMillis, running, queued, Mebibytes(9), 0, model)))
     }
 
-    fun query(adapter: String? = null, prefix: String? = null, excluded: List<String> = emptyList()) = TargetQuery(
-        TargetNeed.Engine(MODEL.model, adapter?.let(::AdapterId)),
-        FailureDomainId("near"),
-        RegionId("here"),
-        prefix,
-        excluded.map(::TargetId).toSet(),
-    )
+    fun all(change: (EngineReport) -> EngineReport = { it }) =
+        apply { targets.forEach { report(it.id.value, change = change) } }
 
-    fun select(query: TargetQuery = query()): String = selector.select(query).fold({ it.code }, { it.target.id.value })
+    fun started(id: String, times: Int = 1) = apply { repeat(times) { table.started(TargetId(id)) } }
 
-    fun call(id: String, outcome: CallOutcome) {
-        table.started(TargetId(id))
-        table.finished(TargetId(id), outcome)
+    fun firstToken(id: String, latency: Duration) = apply { table.firstToken(TargetId(id), latency) }
+
+    fun advance(time: Duration) = apply { clock.advance(time) }
+
+    fun call(id: String, outcome: CallOutcome, times: Int = 1) = apply {
+        repeat(times) { started(id).table.finished(TargetId(id), outcome) }
     }
 
-    companion object {
-        val DOMAINS = listOf("near", "next", "far")
-        val MODEL = Artifact(ModelId("m"), "1")
+    fun state(id: String) = table.status().first { it.target.id.value == id }.state
 
-        fun engine(id: String, domain: String) =
-            Target(TargetId(id), TargetKind.ENGINE, FailureDomainId(domain), "127.0.0.1:${id.hashCode()}")
+    fun select(ask: Ask = Ask()): String {
+        val engine = TargetNeed.Engine(ModelId("m"), ask.adapter?.let(::AdapterId))
+        val need = ask.route?.let { TargetNeed.Service(RouteId(it)) } ?: engine
+        val query = TargetQuery(need, domains[0].id, domains[0].region, ask.prefix, setOf(TargetId(ask.excluded)))
+        return selector.select(query).fold({ it.code }, { it.target.id.value })
+    }
 
-        fun service(id: String, domain: String, route: String) =
-            engine(id, domain).copy(kind = TargetKind.SERVICE, route = RouteId(route))
+    data class Ask(
+        val adapter: String? = null,
+        val prefix: String? = null,
+        val excluded: String = "none",
+        val route: String? = null,
+    )
 
-        fun withAdapter(report: EngineReport, adapter: String) = report.copy(
-            artifacts = report.artifacts + ArtifactReport(
-                MODEL.copy(adapter = AdapterId(adapter)),
-                ArtifactState.LOADED,
-                Mebibytes(1),
-            ),
-        )
+    companion object {
+        fun artifact(adapter: String?) =
+            ArtifactReport(Artifact(ModelId("m"), "1", adapter?.let(::AdapterId)), ArtifactState.LOADED, Mebibytes(1))
     }
 }
