--- a/bergamotwind-placement/src/main/kotlin/dev/bergamotwind/placement/EngineView.kt
+++ b/bergamotwind-placement/src/main/kotlin/dev/bergamotwind/placement/EngineView.kt
@@ -18,7 +18,7 @@
     val isUsable: Boolean = report != null && !isLeaving
 
     /** Memory that can be reserved now. */
-    var free: Mebibytes = target.memory - ledger.used
+    var free: Mebibytes = target.memory - ledger.used - (report?.let(ledger::unaccounted) ?: Mebibytes(0))
         private set
 
     /** Memory that unloads under way will free. */
--- a/bergamotwind-placement/src/main/kotlin/dev/bergamotwind/placement/MemoryLedger.kt
+++ b/bergamotwind-placement/src/main/kotlin/dev/bergamotwind/placement/MemoryLedger.kt
@@ -48,6 +48,10 @@
     /** Whether the entries fit into the capacity. */
     public val fits: Boolean get() = used <= capacity
 
+    /** Memory of artifacts in [report] that have no entry yet; nothing may be reserved while there is any. */
+    public fun unaccounted(report: EngineReport): Mebibytes =
+        Mebibytes(report.artifacts.filter { entry(it.artifact) == null }.sumOf { it.memory.value })
+
     /** Returns the entry of [artifact], if there is one. */
     public fun entry(artifact: Artifact): LedgerEntry? = entries.firstOrNull { it.artifact == artifact }
 
--- a/bergamotwind-placement/src/main/kotlin/dev/bergamotwind/placement/PlacementController.kt
+++ b/bergamotwind-placement/src/main/kotlin/dev/bergamotwind/placement/PlacementController.kt
@@ -15,6 +15,7 @@
 import dev.bergamotwind.api.Invariant
 import dev.bergamotwind.api.InvariantMonitor
 import dev.bergamotwind.api.KeyValueService
+import dev.bergamotwind.api.Mebibytes
 import dev.bergamotwind.api.TargetId
 import dev.bergamotwind.configuration.OperatorConfiguration
 import dev.bergamotwind.configuration.Target
@@ -133,9 +134,10 @@
         val target = round.configuration.targets.getValue(id)
         val stamp = stamp(id, round.fencing) ?: return emptyList()
         val witnesses = moves.filterIsInstance<Move.Unload>().filter { isPermitted(round, it) }
-        val permitted = moves.filter { it is Move.Load || it in witnesses }
-        val before = round.record(target).ledger.copy(capacity = target.memory)
-        var updated = before
+        var updated = round.record(target).ledger.copy(capacity = target.memory)
+        // The write that takes up found artifacts may have failed; their memory must not be given away.
+        val isKnown = received[id]?.report?.let { updated.unaccounted(it) == Mebibytes(0) } ?: false
+        val permitted = moves.filter { if (it is Move.Load) isKnown else it in witnesses }
         val recorded = permitted.filter { move ->
             val next = when (move) {
                 is Move.Load -> updated.reserve(move.artifact, move.memory, stamp)
--- a/bergamotwind-placement/src/main/kotlin/dev/bergamotwind/placement/PlacementPlanner.kt
+++ b/bergamotwind-placement/src/main/kotlin/dev/bergamotwind/placement/PlacementPlanner.kt
@@ -108,16 +108,20 @@
     private fun loadAdapters(fleet: Fleet, eviction: Eviction, input: PlacementInput) {
         val wanted = input.configuration.adapters.values.filter { input.demand.of(it.id) > 0.0 }
             .sortedWith(compareByDescending<Adapter> { input.demand.of(it.id) }.thenBy { it.id })
-        for (adapter in wanted) {
-            val model = input.configuration.models[adapter.model] ?: continue
-            val artifact = fleet.artifactOf(model).copy(adapter = adapter.id)
-            val bases = fleet.usable.filter { it.isConfirmed(fleet.artifactOf(model)) && !it.holds(artifact) }
-            if (bases.isEmpty() || fleet.adapterLoadsLeft <= 0) continue
-            val roomy = bases.filter { it.free >= adapter.memory }
-            roomy.take(fleet.adapterLoadsLeft).forEach {
-                fleet.add(Move.Load(it.target.id, artifact, adapter.memory), it)
+        wanted.forEach { adapter ->
+            input.configuration.models[adapter.model]?.let {
+                loadAdapter(fleet, eviction, adapter, fleet.artifactOf(it))
             }
-            if (roomy.isEmpty() && fleet.usable.none { it.hasCopy(artifact) }) eviction.evictAdapters(bases, adapter)
         }
     }
+
+    private fun loadAdapter(fleet: Fleet, eviction: Eviction, adapter: Adapter, base: Artifact) {
+        val artifact = base.copy(adapter = adapter.id)
+        val bases = fleet.usable.filter { it.isConfirmed(base) && !it.holds(artifact) }
+        val roomy = bases.filter { it.free >= adapter.memory }
+        roomy.take(fleet.adapterLoadsLeft.coerceAtLeast(0)).forEach {
+            fleet.add(Move.Load(it.target.id, artifact, adapter.memory), it)
+        }
+        if (roomy.isEmpty() && fleet.usable.none { it.hasCopy(artifact) }) eviction.evictAdapters(bases, adapter)
+    }
 }
--- a/bergamotwind-placement/src/test/kotlin/dev/bergamotwind/placement/PlacementFaultsSpec.kt
+++ b/bergamotwind-placement/src/test/kotlin/dev/bergamotwind/placement/PlacementFaultsSpec.kt
@@ -1,5 +1,6 @@
 package dev.bergamotwind.placement
 
+import dev.bergamotwind.api.Artifact
 import dev.bergamotwind.api.FailureDomainId
 import dev.bergamotwind.api.KeyValueService
 import dev.bergamotwind.api.Mebibytes
--- a/bergamotwind-placement/src/test/kotlin/dev/bergamotwind/placement/PlacementPlannerSpec.kt
+++ b/bergamotwind-placement/src/test/kotlin/dev/bergamotwind/placement/PlacementPlannerSpec.kt
@@ -109,7 +109,9 @@
 
     companion object {
         @JvmStatic
-        fun planCases() = listOf(
+        fun planCases() = copyCases() + versionAndMemoryCases()
+
+        private fun copyCases() = listOf(
             PlanCase("an empty fleet", emptyList(), setOf("+x:a@1", "+y:b@1")),
             PlanCase("an exhausted store rate", emptyList(), setOf("+x:a@1"), startable = 1),
             PlanCase("nothing to do", listOf("x:a@1", "y:b@1"), emptySet()),
@@ -138,6 +140,9 @@
                 setOf("-x:a@1"),
                 leaving = setOf("x"),
             ),
+        )
+
+        private fun versionAndMemoryCases() = listOf(
             PlanCase(
                 "a new version beside the old one",
                 listOf("x:a@1", "y:b@1"),
--- /dev/null
+++ b/bergamotwind-replay/src/main/kotlin/dev/bergamotwind/replay/InitialPlacement.kt
@@ -0,0 +1,29 @@
+package dev.bergamotwind.replay
+
+import dev.bergamotwind.api.Artifact
+import dev.bergamotwind.configuration.Model
+import dev.bergamotwind.configuration.OperatorConfiguration
+import dev.bergamotwind.placement.Move
+
+/** Even placement with which every replay starts: each model once, largest first, then second copies where they fit. */
+internal class InitialPlacement(configuration: OperatorConfiguration) {
+    private val free = configuration.targets.values.associate { it.id to it.memory.value }.toSortedMap()
+
+    /** Copies loaded at the start. */
+    val copies: List<Move.Load> = buildList {
+        val models = configuration.models.values.sortedWith(compareByDescending<Model> { it.memory }.thenBy { it.id })
+        repeat(2) { round ->
+            for (model in models) {
+                val artifact = Artifact(model.id, model.version)
+                val taken = filter { it.artifact == artifact }.map { it.target }
+                val target = free.keys.filter { it !in taken }.maxByOrNull { free.getValue(it) }
+                if (target == null || free.getValue(target) < model.memory.value) {
+                    check(round > 0) { "${model.id} does not fit" }
+                    continue
+                }
+                free[target] = free.getValue(target) - model.memory.value
+                add(Move.Load(target, artifact, model.memory))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/bergamotwind-replay/src/main/kotlin/dev/bergamotwind/replay/PlacementRound.kt
@@ -0,0 +1,18 @@
+package dev.bergamotwind.replay
+
+import dev.bergamotwind.api.EngineReport
+import dev.bergamotwind.api.FailureDomainId
+import dev.bergamotwind.api.TargetId
+import dev.bergamotwind.placement.DemandEstimate
+
+/**
+ * What a [PlacementStrategy] works with. [reports] are those that arrived; engines in [unreachable] domains get no
+ * orders. [offered] is the demand of the last interval, and [smoothed] that of the production estimator.
+ */
+internal class PlacementRound(
+    val engines: Map<TargetId, VirtualEngine>,
+    val reports: Map<TargetId, EngineReport>,
+    val unreachable: Set<FailureDomainId>,
+    val offered: DemandEstimate,
+    val smoothed: DemandEstimate,
+)
--- /dev/null
+++ b/bergamotwind-replay/src/main/kotlin/dev/bergamotwind/replay/PlannedPlacement.kt
@@ -0,0 +1,74 @@
+package dev.bergamotwind.replay
+
+import dev.bergamotwind.api.Clock
+import dev.bergamotwind.api.FencingNumber
+import dev.bergamotwind.api.Invariant
+import dev.bergamotwind.api.InvariantMonitor
+import dev.bergamotwind.api.TargetId
+import dev.bergamotwind.configuration.OperatorConfiguration
+import dev.bergamotwind.placement.MemoryLedger
+import dev.bergamotwind.placement.Move
+import dev.bergamotwind.placement.OrderStamp
+import dev.bergamotwind.placement.PlacementInput
+import dev.bergamotwind.placement.PlacementPlanner
+import dev.bergamotwind.placement.PlacementSettings
+
+/** The production planner and ledgers; ownership and compare-and-swap are left out, because there is one owner. */
+internal class PlannedPlacement(
+    private val configuration: OperatorConfiguration,
+    private val settings: PlacementSettings,
+    private val clock: Clock,
+    private val monitor: InvariantMonitor,
+) : PlacementStrategy {
+    private val ledgers = mutableMapOf<TargetId, MemoryLedger>()
+    private var allowance = 0.0
+
+    override var moves: Int = 0
+        private set
+
+    override fun step(round: PlacementRound) {
+        for ((id, report) in round.reports) {
+            val target = configuration.targets.getValue(id)
+            val ledger = (ledgers[id] ?: MemoryLedger(target.memory)).reconcile(report, target.checksFencing)
+            val used = round.engines.getValue(id).used
+            ledgers[id] = ledger
+            monitor.check(Invariant.MEMORY_NOT_OVERCOMMITTED, ledger.fits && used <= target.memory) {
+                "target=$id ledger_used_mib=${ledger.used} used_mib=$used"
+            }
+        }
+        allowance = minOf(allowance + settings.store.loadsPerSecond, maxOf(1.0, settings.store.loadsPerSecond))
+        val reports = round.reports.filterKeys { configuration.targets[it]?.failureDomain !in round.unreachable }
+        val input = PlacementInput(
+            configuration,
+            ledgers,
+            reports,
+            round.smoothed,
+            allowance.toInt(),
+            settings = settings,
+        )
+        PlacementPlanner.plan(input).forEach { move -> carryOut(move, round.engines.getValue(move.target)) }
+    }
+
+    private fun carryOut(move: Move, engine: VirtualEngine) {
+        val ledger = ledgers.getValue(move.target)
+        val validity = settings.orderDeadline + settings.settleMargin
+        val stamp = OrderStamp(FencingNumber(1), clock.wallMillis(), clock.wallMillis() + validity.inWholeMilliseconds)
+        when (move) {
+            is Move.Load -> {
+                val reserved = ledger.reserve(move.artifact, move.memory, stamp) ?: return
+                ledgers[move.target] = reserved
+                engine.load(move.artifact, move.memory, reserved.lastOrder)
+                if (move.artifact.adapter == null) {
+                    allowance -= 1
+                    moves++
+                }
+            }
+
+            is Move.Unload -> {
+                val ordered = ledger.orderUnload(move.artifact, stamp) ?: return
+                ledgers[move.target] = ordered
+                engine.unload(move.artifact, ordered.lastOrder)
+            }
+        }
+    }
+}
--- a/bergamotwind-replay/src/main/kotlin/dev/bergamotwind/replay/Probe.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-package dev.bergamotwind.replay
-
-/** Placeholder. */
-public object Probe
--- /dev/null
+++ b/bergamotwind-replay/src/main/kotlin/dev/bergamotwind/replay/VirtualClock.kt
@@ -0,0 +1,35 @@
+package dev.bergamotwind.replay
+
+import dev.bergamotwind.api.Clock
+import java.util.PriorityQueue
+
+/** Virtual time: actions run in order of their time, those of the same time in order of their scheduling. */
+internal class VirtualClock : Clock {
+    private class Event(val nanos: Long, val sequence: Long, val action: () -> Unit)
+
+    private val events = PriorityQueue(compareBy<Event>({ it.nanos }, { it.sequence }))
+    private var now = 0L
+    private var scheduled = 0L
+
+    override fun monotonicNanos(): Long = now
+
+    override fun wallMillis(): Long = now / NANOS_PER_MILLISECOND
+
+    fun at(millis: Long, action: () -> Unit) {
+        events += Event(maxOf(now, millis * NANOS_PER_MILLISECOND), scheduled++, action)
+    }
+
+    fun after(millis: Long, action: () -> Unit) = at(wallMillis() + millis, action)
+
+    fun run(untilMillis: Long) {
+        while (events.isNotEmpty() && events.peek().nanos <= untilMillis * NANOS_PER_MILLISECOND) {
+            val event = events.poll()
+            now = event.nanos
+            event.action()
+        }
+    }
+
+    private companion object {
+        const val NANOS_PER_MILLISECOND = 1_000_000L
+    }
+}
--- a/bergamotwind-test/src/main/kotlin/dev/bergamotwind/test/UnreliableEngine.kt
+++ b/bergamotwind-test/src/main/kotlin/dev/bergamotwind/test/UnreliableEngine.kt
@@ -54,6 +54,11 @@
         }
     }
 
+    /** Holds [artifact] from the start, without an order. */
+    public fun preload(artifact: Artifact, memory: Mebibytes) {
+        held[artifact] = Held(memory, now())
+    }
+
     /** Empties the memory and forgets the orders seen. */
     public fun restart() {
         held.clear()
