--- /dev/null
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/DigestSource.kt
@@ -0,0 +1,41 @@
+package dev.bergamotwind.node
+
+import dev.bergamotwind.admission.Admission
+import dev.bergamotwind.configuration.AppliedConfiguration
+import dev.bergamotwind.membership.Demand
+import dev.bergamotwind.membership.LocalDigest
+import dev.bergamotwind.membership.RateDemand
+import dev.bergamotwind.membership.TargetDigest
+import kotlin.math.roundToLong
+
+/** Builds what this node tells its peers. */
+internal class DigestSource(
+    private val applied: AppliedConfiguration,
+    private val admission: Admission,
+    private val placement: PlacementView,
+    private val life: ProcessLife,
+) {
+    /** The digest as of [nowNanos], with the [reports] that this node has read. */
+    fun digest(reports: Collection<TargetDigest>, nowNanos: Long): LocalDigest {
+        val age = applied.freshnessAge(nowNanos)
+        return LocalDigest(
+            revision = applied.current.revision,
+            freshnessNanos = if (age.isInfinite()) null else nowNanos - age.inWholeNanoseconds,
+            draining = !life.isAccepting,
+            demand = ownDemand(),
+            rates = admission.snapshot.rates.map {
+                RateDemand(it.team, it.demandTokensPerSecond.roundToLong(), it.largestRequest, it.units)
+            },
+            reports = reports.sortedBy { it.target },
+        )
+    }
+
+    private fun ownDemand(): List<Demand> {
+        val estimate = placement.ownDemand
+        val adapters = applied.current.adapters
+        return estimate.models.map { Demand(it.key, null, it.value.roundToLong()) } +
+            estimate.adapters.mapNotNull { (id, rate) ->
+                adapters[id]?.let { Demand(it.model, id, rate.roundToLong()) }
+            }
+    }
+}
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/FleetView.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/FleetView.kt
@@ -6,11 +6,10 @@
 import dev.bergamotwind.api.VirtualMachineState
 import dev.bergamotwind.api.VmId
 import dev.bergamotwind.configuration.AppliedConfiguration
-import dev.bergamotwind.membership.PeerStatus
 import dev.bergamotwind.membership.PeerView
 import dev.bergamotwind.membership.Rendezvous
 
-/** Divides work among the nodes without any agreement: all compute the same owners from what they know of each other. */
+/** Divides work among nodes without agreement: all compute the same owners from what they know of each other. */
 internal class FleetView(
     private val vm: VmId,
     private val failureDomain: FailureDomainId,
@@ -40,7 +39,4 @@
             candidates == null || Rendezvous.owners(target.id.value, candidates, 1).single() == vm.value
         }.map { it.id }
     }
-
-    /** Peers in contact. */
-    fun connectedPeers(): List<PeerStatus> = peers().peers.filter { it.connected }
 }
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/Node.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/Node.kt
@@ -89,16 +89,12 @@
     private val placementView = PlacementView(applied, table, control, settings.failureDomain)
     private val placement = PlacementDuty(settings, keyValue, control, placementView, clock, monitor, recorder)
     private val peers: PeerDuty = PeerDuty(
-        settings,
         membership,
-        machines,
+        MachineListReader(settings, machines, membership, fleet, applied, table),
         fleet,
-        applied,
-        admission,
-        rateShares,
+        PeerIntake(settings.vm, applied, admission, rateShares, table, placementView, clock),
+        DigestSource(applied, admission, placementView, life),
         table,
-        placementView,
-        life,
         clock,
     )
 
