--- a/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/ServerSentEventReader.kt
+++ b/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/ServerSentEventReader.kt
@@ -19,13 +19,20 @@
     /** Returns the data of the events that [bytes] complete. */
     public fun read(bytes: ByteArray): Either<Failure, List<String>> {
         val events = mutableListOf<String>()
-        for (byte in bytes) {
-            if (byte == LINE_FEED) endLine(events) else line.write(byte.toInt())
-            if (line.size() + dataBytes > limitBytes) return tooLarge()
+        var from = 0
+        for (index in bytes.indices) {
+            if (bytes[index] != LINE_FEED) continue
+            line.write(bytes, from, index - from)
+            from = index + 1
+            if (isTooLarge()) return tooLarge()
+            endLine(events)
         }
-        return events.right()
+        line.write(bytes, from, bytes.size - from)
+        return if (isTooLarge()) tooLarge() else events.right()
     }
 
+    private fun isTooLarge() = line.size() + dataBytes > limitBytes
+
     private fun endLine(events: MutableList<String>) {
         val text = line.toString(Charsets.UTF_8).removeSuffix("\r")
         line.reset()
--- a/bergamotwind-routing/src/test/kotlin/dev/bergamotwind/routing/ClaimStoreSpec.kt
+++ b/bergamotwind-routing/src/test/kotlin/dev/bergamotwind/routing/ClaimStoreSpec.kt
@@ -84,14 +84,19 @@
     }
 
     @Test
-    fun `records an answer that could not be written during an outage`() {
+    fun `records an answer that could not be written during an outage, and no older state after it`() {
         val store = store("vm-1")
-        val claim = store.acquired()
+        val claims = listOf("k1", "k2").map {
+            (store.claim("first", key = it).getOrNull() as ClaimOutcome.Acquired).claim
+        }
+        val answer = RecordedAnswer.of(200, null, ByteArray(1))
         faults.available = false
-        store.complete(claim, RecordedAnswer.of(200, null, ByteArray(1)))
+        store.complete(claims[0], answer)
+        store.markUnknown(claims[1])
         faults.available = true
+        store.complete(claims[1], answer)
         store.maintain()
-        assertEquals("AlreadyDone", store("vm-2").result())
+        assertEquals(List(2) { "AlreadyDone" }, listOf("k1", "k2").map { store("vm-2").result(key = it) })
     }
 
     @Test
@@ -173,7 +178,7 @@
 
         fun step() {
             when (random.nextInt(12)) {
-                in 0..3 -> call(nodes.random(random), "key-${random.nextInt(12)}")
+                in 0..3 -> call(nodes.random(random), "key-${requests / 40 + random.nextInt(12)}")
                 in 4..7 -> if (held.isNotEmpty()) advance(held.removeAt(random.nextInt(held.size)))
                 8 -> die(nodes.random(random))
                 9 -> nodes.random(random).link.disturb()
