Send digest items in turn, and domain summaries less often

An item that changed before it was sent lost its place to others, and a link whose exchanges kept one phase never sent some of them. Change: each link visits all items in turn; what a node reads itself has three quarters of a digest before summaries that it passes on; a domain is summarised every fourth digest interval.

--- a/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/Defaults.kt
+++ b/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/Defaults.kt
@@ -43,7 +43,7 @@
 /** Time after which an unchanged load report is sent again, to show that it is still current. */
 internal val REFRESH_INTERVAL: Duration = 5.seconds
 
-/** Time for which a deletion is kept to be sent; a link that is older than this has sent it. */
+/** Time for which a deletion is kept to be sent; each link visits all items well within it. */
 internal val TOMBSTONE_TIME: Duration = 60.seconds
 
 /** Bytes of a digest without items, with its frame and headers, as measured in docs/measurements-membership.md. */
@@ -52,6 +52,9 @@
 /** Bytes of items that a digest may always carry; with many links the interval is stretched instead. */
 internal const val SHORTEST_BATCH_BYTES: Int = 60
 
+/** Digest intervals between two summaries of a failure domain; other domains decide on sums, which change slowly. */
+internal const val SUMMARY_INTERVALS: Int = 4
+
 /** Digests whose send times a link remembers to date what a peer answers. */
 internal const val REMEMBERED_SENDS: Int = 32
 
--- a/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/ItemStore.kt
+++ b/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/ItemStore.kt
@@ -1,36 +1,28 @@
 package dev.bergamotwind.membership
 
-import java.util.TreeMap
-
-/**
- * Items in the order of their last change, so that each link sends what changed since it sent last, the longest
- * unsent first, and an item that changed twice only once.
- */
+/** Items in slots. Each change of an item has a version, by which a link sees what it has not sent yet. */
 internal class ItemStore {
-    private val byKey = HashMap<ItemKey, Item>()
-    private val byVersion = TreeMap<Long, Item>()
+    private val slotByKey = HashMap<ItemKey, Int>()
+    private val slots = ArrayList<Item?>()
+    private val free = ArrayDeque<Int>()
     private var version = 0L
-    private var rotation = 0
 
-    /** Makes [items] the whole content among the keys that [owned] selects. */
-    fun replace(items: List<Item>, nowNanos: Long, owned: (ItemKey) -> Boolean) {
-        // The start rotates: with too few bytes for all items, a fixed order would starve the last ones.
-        val start = if (items.isEmpty()) 0 else rotation++ % items.size
-        (items.drop(start) + items.take(start)).forEach { put(it, nowNanos) }
+    /** Makes [items] the whole content. */
+    fun replace(items: List<Item>, nowNanos: Long) {
+        items.forEach { put(it, nowNanos) }
         val present = items.mapTo(HashSet()) { it.key }
-        val gone = byKey.values.filter { owned(it.key) && it.key !in present && it.values.isNotEmpty() }
-        gone.forEach { put(Item(it.key, emptyList(), nowNanos), nowNanos) }
+        val gone = slots.filter { it != null && it.values.isNotEmpty() && it.key !in present }
+        gone.filterNotNull().forEach { put(Item(it.key, emptyList(), nowNanos), nowNanos) }
         dropTombstones(nowNanos)
     }
 
     private fun put(item: Item, nowNanos: Long) {
-        val previous = byKey[item.key]
+        val slot = slotByKey.getOrPut(item.key) { free.removeFirstOrNull() ?: slots.size.also { slots += null } }
+        val previous = slots[slot]
         if (previous != null && previous.values == item.values && !isDue(previous, item, nowNanos)) return
-        if (previous != null) byVersion.remove(previous.version)
         item.version = ++version
         item.changedNanos = nowNanos
-        byKey[item.key] = item
-        byVersion[item.version] = item
+        slots[slot] = item
     }
 
     private fun isDue(previous: Item, item: Item, nowNanos: Long) = ItemKinds.hasAge(item.key.kind) &&
@@ -39,13 +31,18 @@
 
     private fun dropTombstones(nowNanos: Long) {
         val limit = nowNanos - TOMBSTONE_TIME.inWholeNanoseconds
-        val old = byKey.values.filter { it.values.isEmpty() && it.changedNanos < limit }
-        old.forEach {
-            byKey.remove(it.key)
-            byVersion.remove(it.version)
+        slots.forEachIndexed { slot, item ->
+            if (item != null && item.values.isEmpty() && item.changedNanos < limit) {
+                slotByKey.remove(item.key)
+                slots[slot] = null
+                free.addLast(slot)
+            }
         }
     }
 
-    /** Items changed after [version], in the order of change. */
-    fun after(version: Long): Sequence<Item> = byVersion.tailMap(version, false).values.asSequence()
+    /** Number of slots, of which some may be empty. */
+    val size: Int get() = slots.size
+
+    /** The item in [slot], or null when the slot is empty. */
+    operator fun get(slot: Int): Item? = slots[slot]
 }
--- a/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/ItemWriter.kt
+++ b/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/ItemWriter.kt
@@ -1,41 +1,42 @@
 package dev.bergamotwind.membership
 
 /**
- * Writes items of one store for one link. A name is sent once on a link and referred to by its number afterwards.
- * Each item is a header (kind, number of names, number of values), its names and its values.
+ * Writes items for one link. A name is sent once on a link and referred to by its number afterwards. Each item is a
+ * header (kind, number of names, number of values), its names and its values.
  */
 internal class ItemWriter {
     private val numbers = HashMap<String, Long>()
-    private var sentVersion = 0L
 
     val isFull: Boolean get() = numbers.size > NAME_LIMIT
 
-    class Batch(val names: List<String>, val items: List<Long>)
-
-    /** Returns what changed in [store] since the last batch, up to about [maximumBytes]. */
-    fun next(store: ItemStore, maximumBytes: Int, nowNanos: Long): Batch {
+    class Batch {
         val names = mutableListOf<String>()
         val items = mutableListOf<Long>()
         var bytes = 0
-        for (item in store.after(sentVersion)) {
-            if (bytes >= maximumBytes) break
-            sentVersion = item.version
-            val start = items.size
-            items += header(item)
-            for (name in item.key.names) {
-                items += numbers.getOrPut(name) {
-                    names += name
-                    bytes += name.length + 1
-                    numbers.size.toLong()
-                }
-            }
-            if (item.values.isNotEmpty() && ItemKinds.hasAge(item.key.kind)) {
-                items += (nowNanos - item.observedNanos) / NANOS_PER_TENTH
+    }
+
+    /** Adds unsent items of [cursor] to [batch] until it has about [maximumBytes]. */
+    fun write(cursor: ItemCursor, batch: Batch, maximumBytes: Int, nowNanos: Long) {
+        cursor.forEachUnsent { item ->
+            (batch.bytes < maximumBytes).also { if (it) add(item, batch, nowNanos) }
+        }
+    }
+
+    private fun add(item: Item, batch: Batch, nowNanos: Long) {
+        val start = batch.items.size
+        batch.items += header(item)
+        for (name in item.key.names) {
+            batch.items += numbers.getOrPut(name) {
+                batch.names += name
+                batch.bytes += name.length + 1
+                numbers.size.toLong()
             }
-            items += item.values
-            bytes += (items.size - start) * TYPICAL_INTEGER_BYTES
         }
-        return Batch(names, items)
+        if (item.values.isNotEmpty() && ItemKinds.hasAge(item.key.kind)) {
+            batch.items += (nowNanos - item.observedNanos) / NANOS_PER_TENTH
+        }
+        batch.items += item.values
+        batch.bytes += (batch.items.size - start) * TYPICAL_INTEGER_BYTES
     }
 
     private fun header(item: Item): Long {
--- a/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/MembershipHandler.kt
+++ b/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/MembershipHandler.kt
@@ -25,6 +25,7 @@
     private val dialler = NeighbourDialler(settings, links, clock.monotonicNanos())
     private val changes = ChangesExchange(settings, configuration)
     private val details = ItemStore()
+    private val relayed = ItemStore()
     private val summary = ItemStore()
     private val budget = ByteBudget(settings.bytesPerSecond, clock.monotonicNanos())
     private var local = LocalDigest()
@@ -56,10 +57,11 @@
 
     private fun opened(link: Link) {
         val now = clock.monotonicNanos()
-        // Spreads the exchanges of a node over the interval.
-        val first = now + Random.nextLong(settings.digestInterval.inWholeNanoseconds)
         val detailed = settings.topology.exchangesDetails(self.peerAddress, link.peer.peerAddress)
-        open[link] = PeerLink(link, detailed, first, now)
+        val peer = PeerLink(link, detailed, if (detailed) listOf(details, relayed) else listOf(summary), now)
+        // Spreads the exchanges of a node over the interval.
+        peer.nextExchangeNanos += Random.nextLong(settings.digestInterval.inWholeNanoseconds)
+        open[link] = peer
         lost.remove(link.peer.address)
         record("link.opened", link.peer.address, "id" to link.peer.id.value)
         closeDuplicates(link.peer.address)
@@ -84,7 +86,7 @@
     private fun published(digest: LocalDigest) {
         local = digest
         val now = clock.monotonicNanos()
-        details.replace(DigestItems.of(digest, now), now) { it.kind < ItemKinds.DOMAIN }
+        details.replace(DigestItems.of(digest, now), now)
     }
 
     private fun closeSilent(nowNanos: Long) {
@@ -104,15 +106,15 @@
     }
 
     private fun summarise(nowNanos: Long) {
-        nextSummaryNanos = nowNanos + settings.digestInterval.inWholeNanoseconds
+        nextSummaryNanos = nowNanos + SUMMARY_INTERVALS * settings.digestInterval.inWholeNanoseconds
         if (!relaying && open.values.all { it.detailed }) return
         relaying = true
         val ownDomain = DomainSummaries.of(self.failureDomain, local, statuses(), nowNanos)
-        summary.replace(DigestItems.of(ownDomain), nowNanos) { true }
+        summary.replace(DigestItems.of(ownDomain), nowNanos)
         // Only what came directly from the other domain is passed on, so that no summary travels in a circle.
         val received = open.values.filter { !it.detailed }.flatMap { DigestItems.domains(it.reader.all()) }
         val newest = newestPerDomain(received)
-        details.replace(newest.flatMap { DigestItems.of(it) }, nowNanos) { it.kind >= ItemKinds.DOMAIN }
+        relayed.replace(newest.flatMap { DigestItems.of(it) }, nowNanos)
     }
 
     private fun newestPerDomain(summaries: List<DomainSummary>): List<DomainSummary> =
@@ -140,7 +142,7 @@
         // Each link gets its share of the bytes of one interval; what does not fit waits for the next digest.
         val bytes = settings.bytesPerSecond * settings.digestInterval.inWholeMilliseconds / MILLISECONDS_PER_SECOND
         val room = maxOf(bytes.toInt() / open.size - BARE_DIGEST_BYTES, SHORTEST_BATCH_BYTES)
-        val batch = peer.writer.next(if (peer.detailed) details else summary, room, nowNanos)
+        val batch = peer.batch(room, nowNanos)
         val time = hybridClock.now()
         val age = local.freshnessNanos?.let { (nowNanos - it) / NANOS_PER_MILLISECOND }
         return DigestMessage(
--- a/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/PeerLink.kt
+++ b/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/PeerLink.kt
@@ -3,7 +3,9 @@
 import dev.bergamotwind.api.Revision
 
 /** State of the membership duty for one open link. */
-internal class PeerLink(val link: Link, val detailed: Boolean, var nextExchangeNanos: Long, openedNanos: Long) {
+internal class PeerLink(val link: Link, val detailed: Boolean, stores: List<ItemStore>, openedNanos: Long) {
+    private val cursors = stores.map(::ItemCursor)
+    var nextExchangeNanos = openedNanos
     val writer = ItemWriter()
     val reader = ItemReader()
     private val sends = LinkedHashMap<Long, Long>()
@@ -52,6 +54,15 @@
         status = null
     }
 
+    /** Returns unsent items of about [maximumBytes]: first the first store, which leaves a part for the others. */
+    fun batch(maximumBytes: Int, nowNanos: Long): ItemWriter.Batch = ItemWriter.Batch().also { batch ->
+        cursors.forEachIndexed { index, cursor ->
+            val isLast = index == cursors.lastIndex
+            val limit = if (isLast) maximumBytes else maximumBytes * FIRST_STORE_PERCENT / PERCENT
+            writer.write(cursor, batch, limit, nowNanos)
+        }
+    }
+
     fun status(): PeerStatus = status ?: PeerStatus(
         link.peer.id,
         link.peer.failureDomain,
@@ -66,6 +77,8 @@
     ).also { status = it }
 
     private companion object {
+        const val FIRST_STORE_PERCENT = 75
+        const val PERCENT = 100
         const val NANOS_PER_MILLISECOND = 1_000_000L
     }
 }
--- a/bergamotwind-membership/src/test/kotlin/dev/bergamotwind/membership/ItemsSpec.kt
+++ b/bergamotwind-membership/src/test/kotlin/dev/bergamotwind/membership/ItemsSpec.kt
@@ -11,7 +11,18 @@
     private val seed = System.getProperty("seed", "1").toLong()
     private val steps = System.getProperty("steps", "400").toInt()
 
-    private class Connection(var writer: ItemWriter = ItemWriter(), var reader: ItemReader = ItemReader())
+    private class Connection(private val store: ItemStore) {
+        private val writer = ItemWriter()
+        private val cursor = ItemCursor(store)
+        val reader = ItemReader()
+
+        fun pass(bytes: Int, now: Long): List<Long> {
+            val batch = ItemWriter.Batch()
+            writer.write(cursor, batch, bytes, now)
+            reader.read(batch.names, batch.items, now)
+            return batch.items
+        }
+    }
 
     private fun contents(items: Collection<Item>) = items.associate { it.key to it.values }
 
@@ -19,26 +30,23 @@
     fun `readers converge under random changes, batch sizes and reconnects`() {
         val random = Random(seed)
         val store = ItemStore()
-        val connections = List(3) { Connection() }
+        val connections = MutableList(3) { Connection(store) }
         var items = emptyList<Item>()
         repeat(steps) { step ->
             val now = step * 1_000_000_000L
             when (random.nextInt(4)) {
                 0 -> {
                     items = List(random.nextInt(30)) { randomItem(random, now) }.distinctBy { it.key }
-                    store.replace(items, now) { true }
+                    store.replace(items, now)
                 }
 
-                1 -> connections.random(random).apply {
-                    writer = ItemWriter()
-                    reader = ItemReader()
-                }
+                1 -> connections[random.nextInt(3)] = Connection(store)
 
-                else -> connections.random(random).let { pass(store, it, random.nextInt(200), now) }
+                else -> connections.random(random).pass(random.nextInt(200), now)
             }
         }
         connections.forEach { connection ->
-            repeat(100) { pass(store, connection, 50, steps * 1_000_000_000L) }
+            repeat(100) { connection.pass(50, steps * 1_000_000_000L) }
             assertEquals(contents(items), contents(connection.reader.all()), "seed $seed")
         }
     }
@@ -57,23 +65,16 @@
         )
     }
 
-    private fun pass(store: ItemStore, connection: Connection, bytes: Int, now: Long) {
-        val batch = connection.writer.next(store, bytes, now)
-        connection.reader.read(batch.names, batch.items, now)
-    }
-
     @Test
     fun `items that change all the time are all sent in turn when few bytes are left`() {
         val store = ItemStore()
-        val writer = ItemWriter()
-        val reader = ItemReader()
+        val connection = Connection(store)
         val seen = mutableSetOf<ItemKey>()
         repeat(200) { round ->
             val items = List(20) { Item(ItemKey(ItemKinds.DEMAND, listOf("t$it", "m")), listOf(round.toLong()), 0) }
-            store.replace(items, round.toLong()) { true }
-            val batch = writer.next(store, 10, 0)
-            reader.read(batch.names, batch.items, 0)
-            if (round > 100) seen += reader.all().filter { it.values[0] > 100 }.map { it.key }
+            store.replace(items, round.toLong())
+            connection.pass(10, 0)
+            if (round > 180) seen += connection.reader.all().filter { it.values[0] > 160 }.map { it.key }
         }
         assertEquals(20, seen.size)
     }
@@ -81,18 +82,13 @@
     @Test
     fun `an unchanged load is repeated only after the refresh interval and keeps its age`() {
         val store = ItemStore()
-        val writer = ItemWriter()
+        val connection = Connection(store)
         val second = 1_000_000_000L
         val sizes = List(13) {
-            store.replace(
-                listOf(Item(ItemKey(ItemKinds.LOAD, listOf("t")), listOf(1, 2, 0), it * second)),
-                it * second,
-            ) {
-                true
-            }
-            val batch = writer.next(store, 100, it * second + second / 2)
-            if (batch.items.isNotEmpty()) assertEquals(5, batch.items[2])
-            batch.items.size
+            store.replace(listOf(Item(ItemKey(ItemKinds.LOAD, listOf("t")), listOf(1, 2, 0), it * second)), it * second)
+            val sent = connection.pass(100, it * second + second / 2)
+            if (sent.isNotEmpty()) assertEquals(5, sent[2])
+            sent.size
         }
         assertEquals(3, sizes.count { it > 0 })
     }
--- a/bergamotwind-membership/src/test/kotlin/dev/bergamotwind/membership/MembershipMeasurement.kt
+++ b/bergamotwind-membership/src/test/kotlin/dev/bergamotwind/membership/MembershipMeasurement.kt
@@ -69,7 +69,10 @@
 
 private class Totals(nodes: List<Membership>) {
     val traffic = nodes.map { it.traffic() }
-    val processorNanos = (ManagementFactory.getOperatingSystemMXBean() as OperatingSystemMXBean).processCpuTime
+    val processNanos = (ManagementFactory.getOperatingSystemMXBean() as OperatingSystemMXBean).processCpuTime
+
+    // Without the threads of the compiler and the collector, which a process of this age still keeps busy.
+    val processorNanos = ManagementFactory.getThreadMXBean().run { allThreadIds.sumOf { getThreadCpuTime(it) } }
     val nanos = System.nanoTime()
 }
 
@@ -117,11 +120,12 @@
     println(
         "$name: frame_bytes/s mean=%.0f max=%.0f; with headers mean=%.0f max=%.0f; "
             .format(sent.average(), sent.max(), onWire.average(), onWire.max()) +
-            "frames/s mean=%.1f; bytes/frame=%.0f; cpu_us/digest=%.0f cpu_core_share/node=%.4f".format(
+            "frames/s mean=%.1f; bytes/frame=%.0f; cpu_us/digest=%.0f core/node=%.4f process_core/node=%.4f".format(
                 frames.average(),
                 sent.sum() / digests,
                 microseconds / (digests * seconds),
                 microseconds / 1e6 / seconds / sent.size,
+                (after.processNanos - before.processNanos) / 1e9 / seconds / sent.size,
             ),
     )
 }
