--- a/bergamotwind-admission/src/main/kotlin/dev/bergamotwind/admission/RateShares.kt
+++ b/bergamotwind-admission/src/main/kotlin/dev/bergamotwind/admission/RateShares.kt
@@ -64,6 +64,8 @@
         val reservation = share.bucket.reserve(tokens, now)
         if (reservation != null) return RateReservation(team, share.bucket, reservation).right()
         share.refuse(tokens)
+        // A node that was restarted during an outage holds no share; its caller has not exceeded any rate.
+        if (share.bucket.capacity <= 0) return noShare(team).left()
         return Failure.RateExceeded(team, retryAfter(share, tokens)).left()
     }
 
@@ -155,6 +157,9 @@
         shares.values.forEach { it.resize(slotDivisor, unitsUsable, nowNanos) }
     }
 
+    private fun noShare(team: TeamId) =
+        Failure.Unavailable("this node holds no share of the rate of team $team yet", code = "no_rate_share")
+
     private fun retryAfter(share: TeamShare, tokens: Long): Duration {
         val seconds = min(share.bucket.secondsUntil(tokens), LONGEST_RETRY.inWholeSeconds.toDouble())
         return maxOf(seconds.seconds, SHORTEST_RETRY)
--- a/bergamotwind-api/src/main/kotlin/dev/bergamotwind/api/Failure.kt
+++ b/bergamotwind-api/src/main/kotlin/dev/bergamotwind/api/Failure.kt
@@ -102,6 +102,7 @@
         override val code: String get() = "write_outcome_unknown"
         override val status: Int get() = 503
         override val remedy: String get() = "Read the record back to learn whether the write took effect."
+        override val run: RunOutcome get() = RunOutcome.UNKNOWN
         override val retryAfter: Duration get() = 2.seconds
     }
 
