--- a/bergamotwind-cli/src/main/kotlin/dev/bergamotwind/cli/Probe.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-package dev.bergamotwind.cli
-
-/** Placeholder. */
-public object Probe
