--- a/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/Defaults.kt
+++ b/bergamotwind-membership/src/main/kotlin/dev/bergamotwind/membership/Defaults.kt
@@ -46,7 +46,7 @@
 /** Time for which a deletion is kept to be sent; each link visits all items well within it. */
 internal val TOMBSTONE_TIME: Duration = 60.seconds
 
-/** Bytes of a digest without items, with its frame and headers, as measured in docs/measurements-membership.md. */
+/** Estimate of the bytes of a digest without items, with its frame and headers. */
 internal const val BARE_DIGEST_BYTES: Int = 120
 
 /** Bytes of items that a digest may always carry; with many links the interval is stretched instead. */
