--- a/bergamotwind-cli/src/main/kotlin/dev/bergamotwind/cli/CommandLine.kt
+++ b/bergamotwind-cli/src/main/kotlin/dev/bergamotwind/cli/CommandLine.kt
@@ -7,6 +7,7 @@
 import com.github.ajalt.clikt.core.UsageError
 import com.github.ajalt.clikt.core.parse
 import com.github.ajalt.clikt.core.subcommands
+import dev.bergamotwind.replay.TraceCommand
 
 /** The root command `bergamotwind`. */
 internal class CommandLine : CliktCommand("bergamotwind") {
@@ -23,8 +24,8 @@
 }
 
 /** All subcommands of `bergamotwind`; a new one is added here. */
-internal fun allCommands(): List<CliktCommand> =
-    itemCommands() + listOf(settingsCommand(), sheetCommand(), StatusCommand(), TimelineCommand(), DrainCommand())
+internal fun allCommands(): List<CliktCommand> = itemCommands() +
+    listOf(settingsCommand(), sheetCommand(), StatusCommand(), TimelineCommand(), DrainCommand(), TraceCommand())
 
 /** Parses [arguments], runs the command and returns the exit code; prints errors and help. */
 internal fun runCommandLine(arguments: List<String>): ExitCode {
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/ConfigurationFollower.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/ConfigurationFollower.kt
@@ -1,9 +1,8 @@
 package dev.bergamotwind.node
 
 import arrow.core.Either
+import arrow.core.flatMap
 import dev.bergamotwind.api.Clock
-import dev.bergamotwind.api.EventField
-import dev.bergamotwind.api.EventKind
 import dev.bergamotwind.api.EventRecorder
 import dev.bergamotwind.api.Failure
 import dev.bergamotwind.api.KeyValueEntry
@@ -11,10 +10,13 @@
 import dev.bergamotwind.api.Revision
 import dev.bergamotwind.api.WatchListener
 import dev.bergamotwind.configuration.AppliedConfiguration
+import dev.bergamotwind.configuration.ConfigurationKeys
 import dev.bergamotwind.configuration.ConfigurationLog
 import dev.bergamotwind.configuration.OperatorConfiguration
+import dev.bergamotwind.configuration.SNAPSHOT_INTERVAL_CHANGES
 import dev.bergamotwind.core.Duty
 import dev.bergamotwind.core.DutyHandler
+import dev.bergamotwind.core.event
 
 /**
  * Keeps the applied configuration up to date. Some nodes of a failure domain watch the change log; all take changes
@@ -24,13 +26,14 @@
     private val service: KeyValueService,
     private val log: ConfigurationLog,
     private val applied: AppliedConfiguration,
-    private val isWatcher: () -> Boolean,
+    private val fleet: FleetView,
     private val clock: Clock,
     private val recorder: EventRecorder,
 ) : DutyHandler<ConfigurationMessage>,
     AutoCloseable {
     private val duty = Duty("configuration", this)
     private var watch: AutoCloseable? = null
+    private var snapshotRevision = 0L
     private var nextReadNanos = clock.monotonicNanos()
 
     /** Starts following. */
@@ -49,7 +52,7 @@
     }
 
     override fun tick(nowNanos: Long) {
-        val watcher = isWatcher()
+        val watcher = fleet.isConfigurationWatcher()
         if (watcher && watch == null) startWatch()
         if (!watcher && watch != null) endWatch()
         if (nowNanos >= nextReadNanos) readLog()
@@ -62,9 +65,12 @@
 
     private fun readLog() {
         val startedAt = clock.monotonicNanos()
-        val interval = if (isWatcher()) FRESHNESS_INTERVAL else SLOW_POLL_INTERVAL
+        val interval = if (fleet.isConfigurationWatcher()) FRESHNESS_INTERVAL else SLOW_POLL_INTERVAL
         nextReadNanos = startedAt + interval.inWholeNanoseconds
-        recordApplied("log") { read(applied.current.revision) }.onRight { applied.confirmedFresh(startedAt) }
+        recordApplied("log") { read(applied.current.revision) }.onRight {
+            applied.confirmedFresh(startedAt)
+            writeSnapshot(it)
+        }
     }
 
     private fun read(revision: Revision): Either<Failure, OperatorConfiguration> = log.readAfter(revision).fold(
@@ -72,13 +78,25 @@
         { applied.offer(it) },
     )
 
+    // Any node may write a snapshot; one is chosen so that not all do at the same revision.
+    private fun writeSnapshot(configuration: OperatorConfiguration) {
+        val due = configuration.revision.value - snapshotRevision >= SNAPSHOT_INTERVAL_CHANGES
+        if (!due || !fleet.isSnapshotWriter()) return
+        log.writeSnapshot(configuration).flatMap { log.trim() }.onRight {
+            snapshotRevision = configuration.revision.value
+            recorder.event("configuration.snapshot") { field("revision", snapshotRevision) }
+        }
+    }
+
     private fun <T> recordApplied(source: String, action: () -> T): T {
         val before = applied.current.revision
         val result = action()
         val after = applied.current.revision
         if (after != before) {
-            val fields = listOf(EventField("revision", after.toString()), EventField("source", source))
-            recorder.record(EventKind("configuration.applied"), null, fields)
+            recorder.event("configuration.applied") {
+                field("revision", after)
+                field("source", source)
+            }
         }
         return result
     }
@@ -93,15 +111,11 @@
                 duty.send(ConfigurationMessage.WatchEnded)
             }
         }
-        service.watch(CHANGES_PREFIX, Revision(0), listener).onRight { watch = it }
+        service.watch(ConfigurationKeys.CHANGES, Revision(0), listener).onRight { watch = it }
     }
 
     private fun endWatch() {
         watch?.close()
         watch = null
     }
-
-    private companion object {
-        const val CHANGES_PREFIX = "/bergamotwind/configuration/change/"
-    }
 }
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/FleetView.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/FleetView.kt
@@ -28,6 +28,12 @@
         return vm.value in Rendezvous.owners("configuration", candidates, WATCHERS_PER_FAILURE_DOMAIN)
     }
 
+    /** Whether this node writes the snapshots of the configuration. */
+    fun isSnapshotWriter(): Boolean {
+        val live = machines?.filter { it.state == VirtualMachineState.LIVE }?.map { it.id.value } ?: return false
+        return vm.value in Rendezvous.owners("snapshot", live, 1)
+    }
+
     /** The targets whose reports this node reads: each is read by two nodes of its failure domain. */
     fun ownTargets(): List<TargetId> {
         val nodes = peers().peers.filter { it.connected && !it.draining }
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/Node.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/Node.kt
@@ -54,7 +54,7 @@
     private val applied = AppliedConfiguration(monitor)
     private val fleet = FleetView(settings.vm, settings.failureDomain, applied) { membership.view() }
     private val follower =
-        ConfigurationFollower(keyValue, log, applied, fleet::isConfigurationWatcher, clock, recorder)
+        ConfigurationFollower(keyValue, log, applied, fleet, clock, recorder)
     private val membership: Membership = Membership(
         membershipSettings(),
         identity(),
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/RequestSession.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/RequestSession.kt
@@ -47,10 +47,10 @@
     val age: Duration get() = (parts.clock.monotonicNanos() - startedNanos).nanoseconds
 
     /** Records an event about this request. */
-    fun event(kind: String, build: EventFieldsBuilder.() -> Unit = {}) {
+    fun event(kind: String, addFields: EventFieldsBuilder.() -> Unit = {}) {
         parts.recorder.event("request.$kind", id) {
             field("team", access.team)
-            build()
+            addFields()
         }
     }
 
--- a/bergamotwind-node/src/test/kotlin/dev/bergamotwind/node/Deployment.kt
+++ b/bergamotwind-node/src/test/kotlin/dev/bergamotwind/node/Deployment.kt
@@ -24,7 +24,6 @@
 import dev.bergamotwind.configuration.ConfigurationJson
 import dev.bergamotwind.configuration.FailureDomain
 import dev.bergamotwind.configuration.Model
-import dev.bergamotwind.configuration.NodeSettings
 import dev.bergamotwind.configuration.Route
 import dev.bergamotwind.configuration.SubmitChanges
 import dev.bergamotwind.configuration.Target
@@ -40,8 +39,9 @@
 import java.net.ServerSocket
 import java.util.concurrent.CompletableFuture
 
-/** Two nodes, two engines, a plain service with two replicas and a platform, in one process on loopback. */
-internal class Deployment(tokenDelayMillis: Long = 0) : AutoCloseable {
+/** Nodes, two engines, a plain service with two replicas and a platform on loopback; nodes in [processes] if asked. */
+internal class Deployment(tokenDelayMillis: Long = 0, count: Int = 2, private val processes: Boolean = false) :
+    AutoCloseable {
     val platform = PlatformServer().start()
     val engines = listOf("engine-a", "engine-b").map { id ->
         val loaded = mapOf(Artifact(ModelId("shade"), "1") to Mebibytes(4_000))
@@ -49,15 +49,15 @@
             .start()
     }
     val services = listOf("order-a", "order-b").map { ServiceServer("127.0.0.1", 0, TargetId(it)).start() }
-    val nodes: List<Node>
+    val nodes: List<RunningNode>
 
     init {
-        val machines = listOf("vm-1", "vm-2").map {
+        val machines = List(count) { "vm-$it" }.map {
             VirtualMachine(VmId(it), FailureDomainId("lowlands"), "127.0.0.1", VirtualMachineState.LIVE)
         }
         platform.virtualMachines(machines)
-        val ports = machines.map { ServerSocket(0).use { socket -> socket.localPort } }
-        nodes = machines.mapIndexed { index, machine -> Node(settings(machine.id, ports[index], ports)).start() }
+        val ports = machines.map { freePort() }
+        nodes = machines.mapIndexed { index, machine -> start(settings(machine.id, ports[index], ports)) }
         change("deployment", configuration())
         await("rate shares and reports") {
             nodes.all { node ->
@@ -80,11 +80,11 @@
         }
     }
 
-    fun operator(node: Node, method: HttpMethod, path: String, body: String = ""): AggregatedHttpResponse =
+    fun operator(node: RunningNode, method: HttpMethod, path: String, body: String = ""): AggregatedHttpResponse =
         send(node.administrationPort, headers(method, path, "operator"), body).join()
 
     fun ask(
-        node: Node,
+        node: RunningNode,
         prompt: String = "warm-up",
         stream: Boolean = false,
         tokens: Int = 8,
@@ -94,7 +94,11 @@
         return send(node.callerPort, headers(HttpMethod.POST, "/v1/completions", key), body)
     }
 
-    fun order(node: Node, body: String, idempotencyKey: String? = null): CompletableFuture<AggregatedHttpResponse> {
+    fun order(
+        node: RunningNode,
+        body: String,
+        idempotencyKey: String? = null,
+    ): CompletableFuture<AggregatedHttpResponse> {
         val headers = headers(HttpMethod.POST, "/services/orders/kits", KEY).toBuilder()
         if (idempotencyKey != null) headers.add("idempotency-key", idempotencyKey)
         return send(node.callerPort, headers.build(), body)
@@ -113,11 +117,13 @@
         check(send(port, headers(HttpMethod.POST, "/faults", null), body).join().status().isSuccess)
     }
 
-    /** Number of executions of [body], over all replicas of the service. */
-    fun executions(body: String): Int = services.sumOf { service ->
+    /** Number of executions of each body, over all replicas of the service. */
+    fun allExecutions(): Map<String, Int> = services.map { service ->
         val answer = send(service.port, headers(HttpMethod.GET, "/executions", null), "").join()
-        Json.decodeFromString<Map<String, Int>>(answer.contentUtf8())[body] ?: 0
-    }
+        Json.decodeFromString<Map<String, Int>>(answer.contentUtf8())
+    }.flatMap { it.entries }.groupBy({ it.key }, { it.value }).mapValues { it.value.sum() }
+
+    fun executions(body: String): Int = allExecutions()[body] ?: 0
 
     fun violations(): List<String> = nodes.flatMap { node ->
         val status = operator(node, HttpMethod.GET, "/administration/v1/status").contentUtf8()
@@ -173,16 +179,14 @@
         ),
     )
 
-    private fun settings(vm: VmId, peerPort: Int, peerPorts: List<Int>): NodeSettings = NodeSettings.parse(
-        "test.toml",
-        """
+    private fun settings(vm: VmId, peerPort: Int, peerPorts: List<Int>): String = """
         vm = "$vm"
         failure_domain = "lowlands"
         region = "scotland"
         [listen]
         addresses = ["127.0.0.1"]
-        caller_port = 0
-        administration_port = 0
+        caller_port = ${freePort()}
+        administration_port = ${freePort()}
         peer_port = $peerPort
         [platform]
         key_value_service = ["${platform.endpoint}"]
@@ -195,8 +199,12 @@
         [limits]
         balancer_lag_milliseconds = 50
         maximum_body_bytes = 65536
-        """.trimIndent(),
-    ).fold({ error(it.joinToString()) }, { it })
+    """.trimIndent()
+
+    private fun start(settings: String): RunningNode =
+        if (processes) NodeProcess(settings) else NodeInThisProcess(settings)
+
+    private fun freePort(): Int = ServerSocket(0).use { it.localPort }
 
     companion object {
         const val KEY = "key-of-lowland"
--- /dev/null
+++ b/bergamotwind-node/src/test/kotlin/dev/bergamotwind/node/RunningNode.kt
@@ -0,0 +1,52 @@
+package dev.bergamotwind.node
+
+import dev.bergamotwind.configuration.NodeSettings
+import java.nio.file.Files
+
+/** A node of a test. */
+internal interface RunningNode {
+    val callerPort: Int
+    val administrationPort: Int
+
+    fun stop()
+}
+
+/** A node in the process of the test, where its violations and coverage are at hand. */
+internal class NodeInThisProcess(toml: String) : RunningNode {
+    private val node = Node(NodeSettings.parse("test.toml", toml).fold({ error(it.joinToString()) }, { it })).start()
+    override val callerPort = node.callerPort
+    override val administrationPort = node.administrationPort
+
+    override fun stop() = node.stop()
+}
+
+/** A node in a process of its own, which can be killed and frozen. */
+internal class NodeProcess(toml: String) : RunningNode {
+    private val file = Files.createTempFile("node", ".toml").also { Files.writeString(it, toml) }
+    private val settings = NodeSettings.parse("test.toml", toml).fold({ error(it.joinToString()) }, { it })
+    override val callerPort = settings.listen.callerPort
+    override val administrationPort = settings.listen.administrationPort
+    private val process = ProcessBuilder(command()).redirectErrorStream(true)
+        .redirectOutput(ProcessBuilder.Redirect.DISCARD).start()
+
+    fun kill() {
+        process.destroyForcibly().waitFor()
+    }
+
+    /** Sends SIGSTOP or SIGCONT. */
+    fun signal(name: String) {
+        check(ProcessBuilder("kill", "-$name", "${process.pid()}").start().waitFor() == 0)
+    }
+
+    override fun stop() {
+        process.destroy()
+        process.waitFor()
+        Files.deleteIfExists(file)
+    }
+
+    private fun command(): List<String> {
+        val classPath = System.getProperty("surefire.test.class.path") ?: System.getProperty("java.class.path")
+        val java = System.getProperty("java.home") + "/bin/java"
+        return listOf(java, "-Xmx256m", "-cp", classPath, "dev.bergamotwind.node.MainKt", "--settings", "$file")
+    }
+}
