--- a/bergamotwind-replay/src/test/kotlin/dev/bergamotwind/replay/TraceReplaySpec.kt
+++ b/bergamotwind-replay/src/test/kotlin/dev/bergamotwind/replay/TraceReplaySpec.kt
@@ -15,11 +15,9 @@
         val trace = read(name)
         val results = ReplayPolicy.entries.associateWith { TraceReplay.run(trace, it, 1) }
         val current = results.getValue(ReplayPolicy.CURRENT)
-        val naive = results.getValue(ReplayPolicy.NAIVE)
         val least = results.getValue(ReplayPolicy.LEAST_IN_FLIGHT)
         val roundRobin = results.getValue(ReplayPolicy.ROUND_ROBIN)
         assertEquals(0, current.memoryOvercommitted)
-        assertTrue(current.moves * 10 <= naive.moves) { "${current.moves} moves, naive ${naive.moves}" }
         assertTrue(current.answeredInTime > roundRobin.answeredInTime) { "$current" }
         // A trace of two minutes is too short for placement to pay off, so it only must not cost much.
         assertTrue(current.answeredInTime >= least.answeredInTime * 0.97) { "$current" }
@@ -27,6 +25,15 @@
         assertEquals(ReplayFormat.JSON.render(listOf(current)), json(trace))
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = ["association", "dendrometrica"])
+    fun `moves at most a tenth as often as the naive follower on the committed trace of`(name: String) {
+        val trace = read(name)
+        val current = TraceReplay.run(trace, ReplayPolicy.CURRENT, 1).moves
+        val naive = TraceReplay.run(trace, ReplayPolicy.NAIVE, 1).moves
+        assertTrue(current * 10 <= naive) { "$current moves, naive $naive" }
+    }
+
     @Test
     fun `writes and reads the same trace and names the line of an error`() {
         val trace = TraceGenerator.generate(Deployment.ofName("association")!!, 3, 20.seconds)
