--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CompletionRun.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CompletionRun.kt
@@ -20,6 +20,7 @@
 import dev.bergamotwind.routing.TargetChoice
 import dev.bergamotwind.routing.TargetNeed
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.flow.lastOrNull
 import kotlinx.coroutines.flow.transformWhile
 
@@ -34,6 +35,7 @@
     private val request = prepared.request
     private val session = RequestSession(id, prepared.access, idempotent = true, parts)
     private val assembler = StreamAssembler(request.body.toString(), parts.monitor)
+    private val space = Channel<Unit>(Channel.CONFLATED)
     private var attempts = 0
     private var countedTokens: Long? = null
 
@@ -41,8 +43,10 @@
     // A fault here must not leave the callers of the run waiting.
     @Suppress("TooGenericExceptionCaught")
     suspend fun execute() {
+        run.onSpace { space.trySend(Unit) }
         try {
             session.event("received") { field("model", request.name) }
+            parts.observeDemand(DemandObservation(request.model, request.adapter, request.estimatedTokens))
             session.admit(request.estimatedTokens).fold({ run.fail(session.refused(it)) }, { admitted ->
                 try {
                     answer().fold({ run.fail(session.refused(it)) }, { finished() })
@@ -77,20 +81,11 @@
 
     private suspend fun answer(): Either<Failure, Unit> {
         val need = TargetNeed.Engine(request.model, request.adapter)
-        val tried = mutableSetOf<TargetId>()
         var last: Failure? = null
-        parts.retries.called()
-        while (tried.size < MAXIMUM_ATTEMPTS) {
-            val body = (if (attempts == 0) request.body.toString() else assembler.resumeBody())
-                ?: return last!!.left()
-            val choice = session.recheck().flatMap { session.select(need, request.prefixHash, tried) }
-                .fold({ return (last ?: it).left() }, { it })
-            tried += choice.target.id
-            val failure = attempt(choice, body).fold({ it }, { return Unit.right() })
-            if (failure is Failure.Invalid || !session.mayTryAgain(idempotent = true)) return failure.left()
-            last = failure
+        return session.tryTargets(need, request.prefixHash) { choice ->
+            val body = if (attempts == 0) request.body.toString() else assembler.resumeBody()
+            if (body == null) last!!.left() else attempt(choice, body).onLeft { last = it }
         }
-        return last!!.left()
     }
 
     private suspend fun attempt(choice: TargetChoice, body: String): Either<Failure, Unit> {
@@ -155,6 +150,7 @@
         assembler.begin(attempt)
         val end = answer.parts(choice.target.address).transformWhile { part ->
             val result = part.flatMap { reader.read(it.array()) }.flatMap { publish(attempt, it) }
+            awaitSpace()
             emit(result)
             result.isRight() && !assembler.isWhole
         }.lastOrNull()
@@ -166,6 +162,11 @@
         }
     }
 
+    // Stops reading from the target while the callers have not taken what was read.
+    private suspend fun awaitSpace() {
+        while (run.isFull && !run.isCancelled) space.receive()
+    }
+
     private fun publish(attempt: AttemptId, events: List<String>): Either<Failure, Unit> {
         for (data in events) {
             when (val step = assembler.accept(attempt, data)) {
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/ServingParts.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/ServingParts.kt
@@ -16,7 +16,7 @@
 import kotlinx.coroutines.CoroutineDispatcher
 
 /** What the handlers of callers' requests share. */
-internal class ServingParts(
+internal data class ServingParts(
     val failureDomain: FailureDomainId,
     val region: RegionId,
     val clock: Clock,
@@ -35,4 +35,6 @@
     val limits: LimitSettings,
     /** Runs calls that block on the key-value service. */
     val blocking: CoroutineDispatcher,
+    /** Tells placement what is asked for, whether it is admitted or not. */
+    val observeDemand: (DemandObservation) -> Unit,
 )
