--- a/bergamotwind-node/src/test/kotlin/dev/bergamotwind/node/RunningNode.kt
+++ b/bergamotwind-node/src/test/kotlin/dev/bergamotwind/node/RunningNode.kt
@@ -1,6 +1,7 @@
 package dev.bergamotwind.node
 
 import dev.bergamotwind.configuration.NodeSettings
+import java.net.Socket
 import java.nio.file.Files
 
 /** A node of a test. */
@@ -29,6 +30,14 @@
     private val process = ProcessBuilder(command()).redirectErrorStream(true)
         .redirectOutput(ProcessBuilder.Redirect.DISCARD).start()
 
+    init {
+        val limit = System.nanoTime() + 30_000_000_000
+        while (runCatching { Socket("127.0.0.1", administrationPort).close() }.isFailure) {
+            check(process.isAlive && System.nanoTime() < limit) { "the node did not start" }
+            Thread.sleep(50)
+        }
+    }
+
     fun kill() {
         process.destroyForcibly().waitFor()
     }
--- a/bergamotwind-placement/src/main/kotlin/dev/bergamotwind/placement/PlacementController.kt
+++ b/bergamotwind-placement/src/main/kotlin/dev/bergamotwind/placement/PlacementController.kt
@@ -184,7 +184,9 @@
         val entry = round.ledgers[id]?.entry(artifact) ?: return false
         val isTimely = clock.elapsedSince(decidedNanos) < settings.orderDeadline / SEND_WINDOW_DIVISOR
         if (ownership.current() != round.fencing || !isTimely) return false
-        val order = EngineOrder(id, entry.order, entry.fencing, action, artifact, entry.memory)
+        val deadline = entry.settledMillis - settings.settleMargin.inWholeMilliseconds
+        val order =
+            EngineOrder(id, entry.order, entry.fencing, action, artifact, entry.memory, deadlineMillis = deadline)
         note("placement.${action.name.lowercase()}", id, EventField("artifact", artifact.toString()))
         engines.send(order).onLeft { note("placement.order_failed", id, EventField("reason", it.code)) }
         return true
