--- a/bergamotwind-admission/src/main/kotlin/dev/bergamotwind/admission/KeyAuthenticator.kt
+++ b/bergamotwind-admission/src/main/kotlin/dev/bergamotwind/admission/KeyAuthenticator.kt
@@ -13,8 +13,7 @@
 import dev.bergamotwind.configuration.OperatorConfiguration
 import dev.bergamotwind.configuration.Team
 import dev.bergamotwind.configuration.UnconfirmedKeys
-import java.security.MessageDigest
-import java.util.HexFormat
+import dev.bergamotwind.configuration.keyDigest
 import kotlin.time.Duration
 
 /**
@@ -37,7 +36,7 @@
         freshnessAge: Duration,
     ): Either<Failure, Access> {
         if (isOpen(subject)) return Access(null, null, route = (subject as AccessSubject.NamedRoute).id).right()
-        return bearerKey(authorization).map(::digest).flatMap { digest ->
+        return bearerKey(authorization).map(::keyDigest).flatMap { digest ->
             team(digest, freshnessAge).flatMap { team -> grant(team, digest, subject) }
         }.onRight(::checkIsolation)
     }
@@ -127,16 +126,9 @@
         monitor.check(Invariant.TEAM_ISOLATION, holds) { "key_team=$owner granted_team=${access.team}" }
     }
 
-    /** Hashing of keys. */
-    public companion object {
-        private const val BEARER = "Bearer "
-        private const val ADAPTER_SEPARATOR = ':'
-        private val HEADER = Regex("(?i:bearer) ([A-Za-z0-9._~+/-]+=*)")
-
-        /** Returns the SHA-256 digest of [key], the only form in which a key is stored or sent. */
-        public fun digest(key: String): KeyDigest {
-            val bytes = MessageDigest.getInstance("SHA-256").digest(key.toByteArray(Charsets.UTF_8))
-            return KeyDigest(HexFormat.of().formatHex(bytes))
-        }
+    private companion object {
+        const val BEARER = "Bearer "
+        const val ADAPTER_SEPARATOR = ':'
+        val HEADER = Regex("(?i:bearer) ([A-Za-z0-9._~+/-]+=*)")
     }
 }
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/Node.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/Node.kt
@@ -157,6 +157,7 @@
 
     /** Stops gracefully: tells the load balancer, finishes what was accepted, gives back what is held. */
     fun stop() {
+        if (life.isStarting) life.fire("abort")
         if (!life.fire("drain")) return
         sleep(settings.limits.balancerLag.inWholeMilliseconds)
         life.fire("close")
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/OperatorCredential.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/OperatorCredential.kt
@@ -6,9 +6,9 @@
 import com.linecorp.armeria.server.DecoratingHttpServiceFunction
 import com.linecorp.armeria.server.HttpService
 import com.linecorp.armeria.server.ServiceRequestContext
-import dev.bergamotwind.admission.KeyAuthenticator
 import dev.bergamotwind.api.Failure
 import dev.bergamotwind.api.KeyDigest
+import dev.bergamotwind.configuration.keyDigest
 import java.security.MessageDigest
 
 /** Lets only requests with the operators' credential through. */
@@ -24,5 +24,5 @@
 
     // Compares in constant time, so that the time of an answer tells nothing about the credential.
     private fun matches(sent: String): Boolean =
-        MessageDigest.isEqual(KeyAuthenticator.digest(sent).value.toByteArray(), expected.value.toByteArray())
+        MessageDigest.isEqual(keyDigest(sent).value.toByteArray(), expected.value.toByteArray())
 }
--- a/quickstart.sh
+++ b/quickstart.sh
@@ -141,7 +141,7 @@
 echo "== the time line of the streamed request, over all nodes"
 request=$(sed -n 's/.*request=\([0-9a-f-]*\).*/\1/p' "$run_directory/streamed" | head -n 1)
 operate timeline --request "$request" | tee "$run_directory/time-line"
-grep -q 'event=request.answered' "$run_directory/time-line" || { echo "the time line is not complete" >&2; exit 1; }
+grep -q 'event=request.sent .*target=' "$run_directory/time-line" || { echo "the time line is not complete" >&2; exit 1; }
 operate status
 
 echo "== every answer was whole"
