--- a/bergamotwind-node/src/test/kotlin/dev/bergamotwind/node/ServingSpec.kt
+++ b/bergamotwind-node/src/test/kotlin/dev/bergamotwind/node/ServingSpec.kt
@@ -1,5 +1,6 @@
 package dev.bergamotwind.node
 
+import com.linecorp.armeria.common.HttpMethod
 import dev.bergamotwind.configuration.ConfigurationEdit
 import dev.bergamotwind.configuration.keyDigest
 import dev.bergamotwind.test.EngineCompletion
@@ -12,6 +13,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
+import java.net.Socket
 
 /** Guards against answers that are cut, doubled or mixed up, second runs, and false claims that nothing ran. */
 class ServingSpec {
@@ -120,6 +122,28 @@
         deployment.nodes.forEach { assertEquals(401, deployment.ask(it, key = key).join().status().code()) }
     }
 
+    @Test
+    fun `keeps no place for callers that leave before the answer`() {
+        deployment.engines.forEach { deployment.faults(it.port, TargetFaults(delayMillis = 20_000)) }
+        val node = deployment.nodes[0]
+        repeat(5) { number ->
+            val body = """{"model":"shade","stream":${number % 2 == 0},"prompt":"left $number"}"""
+            val head = "POST /v1/completions HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer ${Deployment.KEY}\r\n"
+            Socket("127.0.0.1", node.callerPort).use { socket ->
+                val request = head + "Content-Length: ${body.length}\r\n\r\n$body"
+                socket.getOutputStream().apply { write(request.toByteArray()) }.flush()
+                deployment.await("the request") { "\"activeRequests\":0" !in status(node) }
+            }
+            deployment.await("no request") { "\"activeRequests\":0" in status(node) }
+        }
+        deployment.await("no place taken") { "bergamotwind_requests_running 0.0" in metrics(node) }
+    }
+
+    private fun status(node: RunningNode) =
+        deployment.operator(node, HttpMethod.GET, "/administration/v1/status").contentUtf8()
+
+    private fun metrics(node: RunningNode) = deployment.operator(node, HttpMethod.GET, "/metrics").contentUtf8()
+
     private fun healthy() {
         (deployment.engines.map { it.port } + deployment.services.map { it.port })
             .forEach { deployment.faults(it, TargetFaults()) }
@@ -127,7 +151,7 @@
     }
 
     private fun requestsAtEngines(): Int = deployment.engines.sumOf { engine ->
-        val headers = deployment.headers(com.linecorp.armeria.common.HttpMethod.GET, "/requests", null)
+        val headers = deployment.headers(HttpMethod.GET, "/requests", null)
         "\"path\"".toRegex().findAll(deployment.send(engine.port, headers, "").join().contentUtf8()).count()
     }
 
