Look a report up by its target, and check for a caller's key in one place

Placement copied the state of every target, under the table's lock, for each target of another failure domain in every step, so a step was quadratic in the number of targets; TargetTable.reportOf reads one entry. The check that a body does not hold the caller's key stood in both handlers and is now in CallerHandler.

--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CallerHandler.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CallerHandler.kt
@@ -67,6 +67,18 @@
         ).left()
     }
 
+    /** The key that the caller sent, or null. It must not reach a target in any part of the request. */
+    protected fun credentialOf(authorization: List<String>): String? =
+        authorization.firstOrNull()?.substringAfter(' ')?.trim()?.ifEmpty { null }
+
+    /** Refuses a [body] that contains the caller's [credential]. */
+    protected fun checkBody(body: String, credential: String?): Either<Failure, Unit> =
+        if (credential != null && credential in body) {
+            Failure.Invalid("the body contains the caller's key", "Take the key out of the body.").left()
+        } else {
+            Unit.right()
+        }
+
     /** Refuses new work while this node is not serving. */
     protected fun readiness(): Either<Failure, Unit> = when {
         parts.life.isAccepting -> Unit.right()
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CompletionHandler.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CompletionHandler.kt
@@ -46,10 +46,8 @@
         readiness().bind()
         val body = body(call).bind()
         val text = body.contentUtf8()
-        val credential = authorization.first().substringAfter(' ').trim()
-        if (credential in text) {
-            raise(Failure.Invalid("the body contains the caller's key", "Take the key out of the body."))
-        }
+        val credential = credentialOf(authorization)
+        checkBody(text, credential).bind()
         val request = CompletionRequest.parse(text, chat).bind()
         val subject = AccessSubject.NamedModel(request.name)
         val access = parts.authenticator().authorize(authorization, subject, freshness).bind()
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PlacementView.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PlacementView.kt
@@ -49,7 +49,7 @@
         if (applied.current.targets[target]?.failureDomain == failureDomain) {
             control.report(target)
         } else {
-            table.status().firstOrNull { it.target.id == target }?.report?.right()
+            table.reportOf(target)?.right()
                 ?: Failure.Unavailable("no report of target $target has arrived").left()
         }
 }
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PlainServiceHandler.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PlainServiceHandler.kt
@@ -43,7 +43,7 @@
 
     private suspend fun prepare(call: Call): Either<Failure, Prepared> = either {
         val authorization = call.request.headers().getAll(HttpHeaderNames.AUTHORIZATION)
-        val credential = authorization.firstOrNull()?.substringAfter(' ')?.trim()?.ifEmpty { null }
+        val credential = credentialOf(authorization)
         val target = ServicePath.parse(call.request.headers().path(), credential).bind()
         val freshness = parts.applied.freshnessAge(parts.clock.monotonicNanos())
         val subject = AccessSubject.NamedRoute(target.route)
@@ -52,7 +52,7 @@
         val route = parts.applied.current.routes[target.route]
             ?: raise(Failure.NotFound("there is no route ${target.route}", "Ask an operator for the routes."))
         val body = body(call).bind()
-        if (credential != null && body.contentUtf8().contains(credential)) raise(credentialInBody())
+        checkBody(body.contentUtf8(), credential).bind()
         Prepared(route, target.path, credential, body, RequestSession(call.id, access, route.idempotent, parts))
     }
 
@@ -160,7 +160,4 @@
         fun toRecord(): RecordedAnswer =
             RecordedAnswer.of(headers.status().code(), headers.get(HttpHeaderNames.CONTENT_TYPE), body.array())
     }
-
-    private fun credentialInBody() =
-        Failure.Invalid("the body contains the caller's key", "Take the key out of the body.")
 }
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PreparedCompletion.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PreparedCompletion.kt
@@ -6,7 +6,7 @@
 /** A completion request that has been checked: what to send, for whom, and the key that must not be sent. */
 internal class PreparedCompletion(
     val headers: RequestHeaders,
-    val credential: String,
+    val credential: String?,
     val request: CompletionRequest,
     val access: Access,
 )
--- a/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/TargetTable.kt
+++ b/bergamotwind-routing/src/main/kotlin/dev/bergamotwind/routing/TargetTable.kt
@@ -90,6 +90,10 @@
         if (entry.state == TargetEntry.GONE && entry.inFlight == 0) entries.remove(target)
     }
 
+    /** Returns the newest report of [target], or null if none has arrived. */
+    @Synchronized
+    public fun reportOf(target: TargetId): EngineReport? = entries[target]?.report
+
     /** Returns the state of all targets in order of their ids. */
     @Synchronized
     public fun status(): List<TargetStatus> {
