--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -65,7 +65,8 @@
         random,
         recorder,
     )
-    private val peers = Peers(loop, settings.vm, ports.peers, Hearing())
+    private val distance = Distance(settings.failureDomain, settings.regions)
+    private val peers = Peers(loop, settings.vm, ports.peers, distance::isSameRegion, Hearing())
     private val context = Context()
     private val placement = PlacementManager(loop, targets, ports.orders, settings.vm, { term.term }, recorder)
     private val retries = HashMap<ServiceId, RetryAllowance>()
@@ -81,6 +82,7 @@
     private var highestTerm = 0L
     private var ticks = 0L
     private var beatPlanned = false
+    private var wakePlanned = false
     private var onEnd: () -> Unit = {}
 
     /** True when the VM can serve and is not stopping. */
@@ -99,7 +101,7 @@
             field("failure_domain", settings.failureDomain)
             field("first_start", settings.isFirstStart)
         }
-        targets.onChange = { context.waitingRoom.targetsChanged() }
+        targets.onChange = ::wakeSoon
         context.rates.onLargeSpending = ::beatSoon
         lease.onGranted = ::register
         follower.start()
@@ -128,9 +130,13 @@
 
     private fun tick() {
         ticks++
-        if (peers.isBeatDue()) beat()
+        if (peers.isBeatDue()) beat(isUrgent = false)
         val current = configuration
-        if (current != null && ticks % TICKS_PER_PLAN == 0L) placement.tick(current, demandOfAll())
+        if (current != null && ticks % TICKS_PER_PLAN == 0L) {
+            placement.tick(current, demandOfAll())
+            // Suspended targets come back without a change that would be told.
+            wakeSoon()
+        }
         if (ticks % TICKS_PER_SWEEP == 0L) {
             peers.sweep()
             targets.all.forEach { it.forgetSlowness() }
@@ -164,16 +170,26 @@
         }
     }
 
+    // Deferred, because a change is told in the midst of a decision about orders, and waiting calls cause further ones.
+    private fun wakeSoon() {
+        if (wakePlanned) return
+        wakePlanned = true
+        loop.schedule(0) {
+            wakePlanned = false
+            context.waitingRoom.targetsChanged()
+        }
+    }
+
     private fun beatSoon() {
         if (beatPlanned) return
         beatPlanned = true
         loop.schedule(EARLY_BEAT_MILLIS) {
             beatPlanned = false
-            if (peers.mayBeatEarly()) beat()
+            if (peers.mayBeatEarly()) beat(isUrgent = true)
         }
     }
 
-    private fun beat(): Unit = peers.send(currentBeat())
+    private fun beat(isUrgent: Boolean): Unit = peers.send(currentBeat(), isUrgent)
 
     private fun currentBeat(): PeerBeat {
         val loads = targets.all.filter { it.attempts.isNotEmpty() }.associate { it.record.id to it.ownLoad() }
@@ -238,7 +254,7 @@
             field("routes", newer.routes.size)
             field("teams", newer.teams?.size)
         }
-        context.waitingRoom.targetsChanged()
+        wakeSoon()
     }
 
     @OptIn(ExperimentalSerializationApi::class)
@@ -314,7 +330,7 @@
             val newlyKnown = models.any { it.model !in expected }
             expected.clear()
             models.forEach { expected[it.model] = now + it.millis }
-            if (newlyKnown) context.waitingRoom.targetsChanged()
+            if (newlyKnown) wakeSoon()
         }
     }
 
@@ -325,7 +341,7 @@
         override val recorder: EventRecorder get() = this@ServingVm.recorder
         override val configuration: ServedConfiguration? get() = this@ServingVm.configuration
         override val picker =
-            TargetPicker(targets, Distance(settings.failureDomain, settings.regions), ports.loop, this@ServingVm.random)
+            TargetPicker(targets, distance, ports.loop, this@ServingVm.random)
         override val transport: TargetTransport get() = ports.transport
         override val rates = FleetRates(ports.loop) { peers.heardShare }
         override val waitingRoom = WaitingRoom()
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/TargetListener.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/TargetListener.kt
@@ -38,6 +38,9 @@
                         field("target", id)
                         field("lifecycle", record.lifecycle)
                         field("service", record.service)
+                        field("models", record.models.keys.joinToString(",").ifEmpty { null })
+                        field("in_memory", record.modelsInMemory.joinToString(",").ifEmpty { null })
+                        field("on_disk", record.modelsOnDisk.joinToString(",").ifEmpty { null })
                         field("revision", item.revision)
                     }
                 }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallRun.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallRun.kt
@@ -127,7 +127,7 @@
         val expected = work?.let { context.expectedMillis(it) } ?: EXPECTED_LOAD_MILLIS
         val remaining = endMillis - loop.nowMillis()
         when {
-            work == null || need.service.engine == null || context.picker.isHeld(need, work.model) ->
+            work == null || need.service.engine == null || mayHaveRun || context.picker.isHeld(need, work.model) ->
                 refuseOrGiveUp("no target takes the request", SHORT_RETRY_MILLIS)
 
             work.model !in need.service.engine.models ->
@@ -138,6 +138,8 @@
 
             else -> {
                 waitsForModel = true
+                // A target that could not be reached, or had no room, may be free again by then.
+                excluded.clear()
                 await(remaining - LEAST_SERVICE_MILLIS, "model ${work.model} was not loaded in time")
             }
         }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/Defaults.kt
@@ -9,6 +9,9 @@
 /** Longest interval between beats; rates are shared with this lag. */
 internal const val PEER_BEAT_LONGEST_MILLIS = 1_000L
 
+/** Milliseconds between beats to other regions, whose bytes are paid for. */
+internal const val PEER_FAR_BEAT_MILLIS = 400L
+
 /** An extra beat may follow after this part of the interval. */
 internal const val EARLY_BEAT_PART = 5
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/Peers.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/Peers.kt
@@ -1,5 +1,6 @@
 package dev.bergamotwind.serving.peer
 
+import dev.bergamotwind.api.FailureDomainId
 import dev.bergamotwind.api.VmId
 import dev.bergamotwind.serving.ServingLoop
 import kotlinx.serialization.ExperimentalSerializationApi
@@ -13,11 +14,14 @@
     private val loop: ServingLoop,
     private val own: VmId,
     private val transport: PeerTransport,
+    private val isSameRegion: (FailureDomainId) -> Boolean,
     private val listener: PeerListener,
 ) {
     private val peers = LinkedHashMap<VmId, PeerState>()
+    private val codec = Cbor { preferCborLabelsOverNames = true }
     private var number = 0L
     private var lastSentMillis = -PEER_BEAT_MILLIS
+    private var farSentMillis = -PEER_BEAT_MILLIS
 
     /** VMs that may be running, this one included. */
     public val count: Int get() = 1 + loop.nowMillis().let { now -> peers.values.count { it.mayRun(now) } }
@@ -51,13 +55,23 @@
         peer.leftMillis = loop.nowMillis()
     }
 
-    /** Sends [beat], numbered anew, to all VMs that may be running. */
-    internal fun send(beat: PeerBeat) {
+    /**
+     * Sends [beat], numbered anew, to the VMs that may be running; those in other regions get fewer beats, unless
+     * [isUrgent].
+     */
+    internal fun send(beat: PeerBeat, isUrgent: Boolean) {
         lastSentMillis = loop.nowMillis()
-        val bytes = Cbor.encodeToByteArray(PeerBeat.serializer(), beat.copy(number = ++number))
-        peers.values.forEach { peer -> peer.address?.let { transport.send(it, bytes) } }
+        val reachesFar = isUrgent || lastSentMillis - farSentMillis >= PEER_FAR_BEAT_MILLIS
+        if (reachesFar) farSentMillis = lastSentMillis
+        val bytes = codec.encodeToByteArray(PeerBeat.serializer(), beat.copy(number = ++number))
+        for (peer in peers.values) {
+            val address = peer.address ?: continue
+            if (reachesFar || isNear(peer)) transport.send(address, bytes)
+        }
     }
 
+    private fun isNear(peer: PeerState): Boolean = peer.member?.let { isSameRegion(it.failureDomain) } ?: false
+
     /** True when the next beat is due; the interval grows with the number of VMs, which bounds what each receives. */
     internal fun isBeatDue(): Boolean = loop.nowMillis() - lastSentMillis >= beatIntervalMillis()
 
@@ -67,7 +81,7 @@
     /** Takes in a datagram from [sender]. */
     public fun received(sender: InetSocketAddress, bytes: ByteArray) {
         val beat = try {
-            Cbor.decodeFromByteArray(PeerBeat.serializer(), bytes)
+            codec.decodeFromByteArray(PeerBeat.serializer(), bytes)
         } catch (failure: SerializationException) {
             listener.unreadable(sender, failure)
             return
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/EngineView.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/EngineView.kt
@@ -10,6 +10,8 @@
     val models: Set<ModelId>,
     /** A model that is being loaded or will be, or null. */
     val coming: ModelId?,
+    /** False when requests cannot reach the engine, so that what it holds serves nobody. */
+    val isReachable: Boolean,
     /** True when the engine can be given an order about a model. */
     val isFree: Boolean,
     /** Megabytes that neither models nor adapters occupy. */
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementManager.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementManager.kt
@@ -33,6 +33,7 @@
     private val seats = HashMap<TargetId, EngineSeat>()
     private val pace = StoreLoadPace()
     private var lastTerm: Long? = null
+    private var turn = 0L
 
     /** Engines whose holdings have changed since the last call of [takeChanges]. */
     private val changed = LinkedHashSet<TargetId>()
@@ -40,9 +41,13 @@
     /** What engines hold, those that changed first. */
     fun takeChanges(): List<TargetHoldings> {
         if (term() == null) return emptyList()
-        val told = changed.mapNotNull { seats[it] }.ifEmpty { seats.values.filter { it.acceptedOrders != null } }
-        changed.clear()
-        return told.shuffled().take(HOLDINGS_PER_BEAT).map { holdings(it) }
+        val told = changed.mapNotNull { seats[it] }.take(HOLDINGS_PER_BEAT)
+        told.forEach { changed -= it.target.record.id }
+        // One more in turn repairs what a lost beat has left out.
+        val inTurn = seats.values.filter { it.acceptedOrders != null }.let { known ->
+            if (known.isEmpty()) null else known[(turn++ % known.size).toInt()]
+        }
+        return (told + listOfNotNull(inTurn)).distinct().map { holdings(it) }
     }
 
     /** Models that no engine holds and that are on their way. */
@@ -156,15 +161,13 @@
         if (seat.isCalling || now < seat.pausedUntilMillis) return
         val step = seat.step
         when {
-            seat.acceptedOrders == null -> if (isNeeded(seat)) ask(seat)
+            seat.acceptedOrders == null -> ask(seat)
             step != null -> if (now >= step.checkMillis) ask(seat)
             seat.wanted.isNotEmpty() -> adapterStep(seat, profile)
             seat.swap != null -> swapStep(seat, profile)
         }
     }
 
-    private fun isNeeded(seat: EngineSeat) = seat.wanted.isNotEmpty() || seat.swap != null || seat.step != null
-
     private fun ask(seat: EngineSeat) {
         seat.isCalling = true
         orders.report(seat.target.record) { report ->
@@ -180,7 +183,13 @@
         val step = seat.step
         if (report.isBusy) {
             val check = loop.nowMillis() + STEP_CHECK_MILLIS
-            if (step == null) seat.pausedUntilMillis = check else step.checkMillis = check
+            if (step == null) {
+                // What another holder has ordered adds to the engine's memory when it is done.
+                seat.acceptedOrders = null
+                seat.pausedUntilMillis = check
+            } else {
+                step.checkMillis = check
+            }
             seat.reported(report.models - setOfNotNull(step?.model.takeIf { step?.kind == OrderKind.UNLOAD }))
         } else {
             seat.reported(report.models)
@@ -359,7 +368,9 @@
             target = record.id,
             models = seat.models.keys.toSet(),
             coming = seat.swap?.load ?: seat.step?.takeIf { it.kind == OrderKind.LOAD }?.model,
-            isFree = seat.step == null && seat.swap == null && now >= seat.pausedUntilMillis &&
+            isReachable = !seat.target.health.isSuspended(now),
+            isFree =
+            seat.acceptedOrders != null && seat.step == null && seat.swap == null && now >= seat.pausedUntilMillis &&
                 !seat.target.health.isSuspended(now),
             freeMegabytes = freeMegabytes(seat, profile),
             occupiedMegabytes = seat.models.keys.associateWith { occupied(seat, it, profile) },
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SwapPlanner.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SwapPlanner.kt
@@ -15,7 +15,7 @@
     /** Returns the swaps to begin now, at most one an engine; [storeLoads] loads may come from the weight store. */
     fun plan(engines: List<EngineView>, demand: Map<ModelId, ModelDemand>, storeLoads: Int): List<Swap> {
         val copies = HashMap<ModelId, Int>()
-        engines.forEach { engine ->
+        engines.filter { it.isReachable }.forEach { engine ->
             (engine.models + setOfNotNull(engine.coming)).forEach { copies.merge(it, 1, Int::plus) }
         }
         val free = engines.filter { it.isFree }.toMutableList()
