--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/Defaults.kt
@@ -15,6 +15,9 @@
 /** Ticks between sweeps: one a second. */
 internal const val TICKS_PER_SWEEP = 20L
 
+/** Ticks between records of what the VM believes: one in five seconds. */
+internal const val TICKS_PER_STATE = 100L
+
 /** Milliseconds after a change until the others are told, so that several changes share a beat. */
 internal const val EARLY_BEAT_MILLIS = 5L
 
@@ -30,6 +33,9 @@
 /** Milliseconds after the signal to stop from which new requests are refused. */
 internal const val REFUSE_AFTER_MILLIS = 3_000L
 
+/** Milliseconds before the end of the grace at which requests that are not answered get their final answer. */
+internal const val ANSWER_MARGIN_MILLIS = 1_000L
+
 /** Milliseconds before the end of the grace at which the process ends in any case. */
 internal const val END_MARGIN_MILLIS = 600L
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -125,6 +125,7 @@
         recorder.event("vm.stopping") { field("active_requests", runs.size) }
         this.onEnd = onEnd
         shutdown.begin()
+        wakeSoon()
         term.release {}
     }
 
@@ -141,11 +142,31 @@
             peers.sweep()
             targets.all.forEach { it.forgetSlowness() }
         }
+        if (ticks % TICKS_PER_STATE == 0L) recordState()
         if (shutdown.closesIdle) ports.callers.closeIdle()
+        val stopMillis = shutdown.remainingMillis
+        if (stopMillis != null && stopMillis <= 0) runs.toList().forEach(CallRun::stop)
         if (shutdown.isStopping && shutdown.mayEnd(runs.size)) return endStopped()
         loop.schedule(TICK_MILLIS, ::tick)
     }
 
+    private fun recordState(): Unit = recorder.event("vm.state") {
+        field("active_requests", runs.size)
+        field("waiting", context.waitingRoom.size)
+        field("vms", peers.count)
+        field("heard_share", peers.heardShare)
+        field("lease_age_millis", lease.ageMillis)
+        field("configuration", configuration?.version)
+        field("term", term.term)
+        field(
+            "micros_per_token",
+            context.picker.speed.byModel.entries.joinToString(",") { (model, millis) ->
+                "$model:${(millis * MICROS_PER_MILLI).toInt()}"
+            },
+        )
+        field("work_per_second", ownDemand().entries.joinToString(",") { (model, of) -> "$model:${of.workPerSecond}" })
+    }
+
     private fun endStopped() {
         recorder.event("vm.stopped") { field("active_requests", runs.size) }
         follower.stop()
@@ -348,6 +369,7 @@
         override val demand = DemandMeter()
         override val isStopping: Boolean get() = shutdown.isStopping
         override val refusesNew: Boolean get() = shutdown.refusesNew
+        override val stopMillis: Long? get() = shutdown.remainingMillis
         override val refusalHeaders: RefusalHeaders get() = ports.refusalHeaders
 
         override fun connectionShare(limit: Int): Int =
@@ -383,6 +405,8 @@
     }
 
     private companion object {
+        const val MICROS_PER_MILLI = 1_000
+
         /** Milliseconds that the release of the lease may take; the lease ends by itself as well. */
         const val RELEASE_LIMIT_MILLIS = 200L
     }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/Shutdown.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/Shutdown.kt
@@ -10,6 +10,9 @@
     /** True once the VM has been told to stop. */
     val isStopping: Boolean get() = startedMillis != null
 
+    /** Milliseconds for which requests may still run, or null while the VM is not stopping. */
+    val remainingMillis: Long? get() = startedMillis?.let { (graceMillis - ANSWER_MARGIN_MILLIS - elapsed()) }
+
     /** True when idle connections are to be closed. */
     val closesIdle: Boolean get() = elapsed() >= CLOSE_IDLE_AFTER_MILLIS
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallRun.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallRun.kt
@@ -72,6 +72,11 @@
         dispatch()
     }
 
+    /** The process is about to end: a call without an answer gets a final one. */
+    fun stop() {
+        if (!isOver && !relay.isStarted) timeOver()
+    }
+
     private fun admit(route: ServedRoute, team: ServedTeam?) {
         val limit = minOf(call.deadlineMillis ?: Long.MAX_VALUE, route.timeoutMillis)
         endMillis = startedMillis + limit
@@ -125,7 +130,7 @@
     private fun withoutTarget(need: TargetNeed) {
         val work = call.work
         val expected = work?.let { context.expectedMillis(it) } ?: EXPECTED_LOAD_MILLIS
-        val remaining = endMillis - loop.nowMillis()
+        val remaining = remaining()
         when {
             work == null || need.service.engine == null || mayHaveRun || context.picker.isHeld(need, work.model) ->
                 refuseOrGiveUp("no target takes the request", SHORT_RETRY_MILLIS)
@@ -147,7 +152,7 @@
 
     private fun awaitAdapter(choice: TargetChoice) {
         adapterTarget = choice.target
-        val remaining = endMillis - loop.nowMillis()
+        val remaining = remaining()
         await(
             minOf(remaining - LEAST_SERVICE_MILLIS, ADAPTER_WAIT_MILLIS),
             "the adapter of model ${call.work?.model} was not loaded in time",
@@ -160,7 +165,7 @@
         cancelWait = loop.schedule(limitMillis.coerceAtLeast(0)) {
             val target = adapterTarget
             context.waitingRoom.leave(this)
-            if (target != null && endMillis - loop.nowMillis() > ADAPTER_WAIT_MILLIS) {
+            if (target != null && remaining() > ADAPTER_WAIT_MILLIS) {
                 // Another target may get the adapter where this one could not.
                 excluded += target.record.id
                 dispatch()
@@ -170,8 +175,11 @@
         }
     }
 
+    /** Milliseconds left for the call at this VM. */
+    private fun remaining(): Long = minOf(endMillis - loop.nowMillis(), context.stopMillis ?: Long.MAX_VALUE)
+
     /** Longest predicted time to the first event for which a target is still asked. */
-    private fun patience(): Double = (endMillis - loop.nowMillis()) * PATIENCE_SHARE
+    private fun patience(): Double = remaining() * PATIENCE_SHARE
 
     private fun overloaded(choice: TargetChoice) {
         refuseOrGiveUp(
@@ -236,7 +244,7 @@
 
     private fun canRepeat(route: ServedRoute): Boolean =
         route.isRepeatable && runs < route.attemptLimit && sends < SEND_LIMIT &&
-            endMillis - loop.nowMillis() > LEAST_SERVICE_MILLIS
+            remaining() > LEAST_SERVICE_MILLIS
 
     /** The attempt may have run and has no usable answer. */
     private fun failed(attempt: ActiveAttempt, reason: String) {
@@ -257,7 +265,7 @@
         recordAttempt(attempt, reason)
         if (attempt.excludeAfterRefusal) excluded += attempt.choice.target.record.id
         val id = attempt.choice.target.record.service
-        val again = sends < SEND_LIMIT && endMillis - loop.nowMillis() > LEAST_SERVICE_MILLIS &&
+        val again = sends < SEND_LIMIT && remaining() > LEAST_SERVICE_MILLIS &&
             (!arrived || context.tryRetry(id))
         if (again) dispatch() else refuseOrGiveUp(reason, SHORT_RETRY_MILLIS)
     }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ServingContext.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ServingContext.kt
@@ -24,6 +24,9 @@
     /** True once the VM has been told to stop. */
     val isStopping: Boolean
 
+    /** Milliseconds for which requests may still run at a stopping VM, or null. */
+    val stopMillis: Long?
+
     /** True once a stopping VM refuses requests that arrive. */
     val refusesNew: Boolean
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/Defaults.kt
@@ -9,14 +9,17 @@
 /** Work in milliseconds a second that one waiting request stands for. */
 internal const val WAITING_WORK = 60.0
 
-/** How much more work counts that no engine can do than work that shares an engine. */
-internal const val UNREACHABLE_FACTOR = 4.0
+/** Work in milliseconds a second that is added for a model that no engine holds, so that rare models are loaded. */
+internal const val UNREACHABLE_WORK = 30.0
+
+/** Least gain of a swap in milliseconds of work a second; an engine's disturbance is worth more than less. */
+internal const val LEAST_GAIN = 25.0
 
 /** Loss of the last copy of a quiet model, in milliseconds of work a second. */
-internal const val LAST_COPY_LOSS = 10.0
+internal const val LAST_COPY_LOSS = 8.0
 
-/** Part of a spare copy's work that counts as lost with it. */
-internal const val SPARE_COPY_FACTOR = 0.1
+/** Loss of a copy that others can stand in for, in milliseconds of work a second. */
+internal const val SPARE_COPY_LOSS = 2.0
 
 /** How much more a swap must gain than it loses; smaller advantages would swap back and forth. */
 internal const val SWAP_ADVANTAGE = 1.5
@@ -55,10 +58,10 @@
 internal const val RECORD_LAG_MILLIS = 2_500L
 
 /** Milliseconds until an engine that did not answer is asked again. */
-internal const val REPORT_RETRY_MILLIS = 1_000L
+internal const val REPORT_RETRY_MILLIS = 500L
 
 /** Milliseconds until a refused or unanswered order is followed up; reports lag by some hundred. */
-internal const val ORDER_RETRY_MILLIS = 500L
+internal const val ORDER_RETRY_MILLIS = 300L
 
 /** Milliseconds for which an engine is left alone at whose address another one answered. */
 internal const val WRONG_TARGET_PAUSE_MILLIS = 3_000L
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SwapPlanner.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SwapPlanner.kt
@@ -4,12 +4,12 @@
 import dev.bergamotwind.serving.catalogue.EngineProfile
 import dev.bergamotwind.serving.catalogue.ServedModel
 import dev.bergamotwind.serving.peer.ModelDemand
-import kotlin.math.ceil
+import kotlin.math.max
 
 /**
- * Decides which model an engine should load next, and which ones make room. Models that no engine holds and that
- * requests wait for come first, then those with the most work for each copy. A model gives way when it has copies to
- * spare or far less work than the one that comes; the copy at hand decides between engines. Pure.
+ * Decides which model an engine should load next, and which ones make room. What counts is the work that no engine has
+ * room for: a swap is made for the model with the most of it, at the engine where least is lost and the load is
+ * shortest. Work of requests that already wait counts more, as they are the ones that become late. Pure.
  */
 internal class SwapPlanner(private val profile: EngineProfile) {
     /** Returns the swaps to begin now, at most one an engine; [storeLoads] loads may come from the weight store. */
@@ -19,13 +19,19 @@
             (engine.models + setOfNotNull(engine.coming)).forEach { copies.merge(it, 1, Int::plus) }
         }
         val free = engines.filter { it.isFree }.toMutableList()
+        val hopeless = HashSet<ModelId>()
         var storeLoadsLeft = storeLoads
         val swaps = mutableListOf<Swap>()
-        for (model in wanted(demand, copies)) {
-            val swap = free.mapNotNull { swap(it, model, demand, copies) }
-                .filter { (swap, _) -> !swap.fromStore || storeLoadsLeft > 0 }
-                .minWithOrNull(compareBy({ (_, loss) -> loss }, { (swap, _) -> swap.loadMillis }))
-                ?.first ?: continue
+        while (free.isNotEmpty()) {
+            val model = neediest(demand, copies, hopeless) ?: break
+            val needed = gain(demand[model.id], copies[model.id] ?: 0)
+            val swap = free.mapNotNull { candidate(it, model, demand, copies) }
+                .filter { needed > it.loss * SWAP_ADVANTAGE && (!it.swap.fromStore || storeLoadsLeft > 0) }
+                .minByOrNull { it.cost }?.swap
+            if (swap == null) {
+                hopeless += model.id
+                continue
+            }
             if (swap.fromStore) storeLoadsLeft--
             swaps += swap
             free.removeIf { it.target == swap.target }
@@ -35,70 +41,63 @@
         return swaps
     }
 
-    /** Copies that the work of a model needs. */
-    fun copiesNeeded(demand: ModelDemand?): Int = when {
-        demand == null || (demand.waiting == 0 && demand.workPerSecond < LEAST_WORK) -> 0
-        else -> ceil(demand.workPerSecond / WORK_PER_COPY).toInt().coerceAtLeast(1)
-    }
-
-    private fun wanted(demand: Map<ModelId, ModelDemand>, copies: Map<ModelId, Int>): List<ServedModel> =
-        demand.filter { (model, value) -> (copies[model] ?: 0) < copiesNeeded(value) }
-            .keys.mapNotNull { profile.models[it] }
-            .sortedWith(
-                compareBy(
-                    { if ((copies[it.id] ?: 0) == 0) 0 else 1 },
-                    { -(gain(it.id, demand, copies)) },
-                ),
-            )
+    private fun neediest(
+        demand: Map<ModelId, ModelDemand>,
+        copies: Map<ModelId, Int>,
+        hopeless: Set<ModelId>,
+    ): ServedModel? = demand.entries
+        .filter { (model, _) -> model !in hopeless && model in profile.models }
+        .map { (model, value) -> model to gain(value, copies[model] ?: 0) }
+        .filter { (_, gain) -> gain >= LEAST_GAIN }
+        .maxByOrNull { (_, gain) -> gain }
+        ?.let { (model, _) -> profile.models[model] }
 
-    private fun gain(model: ModelId, demand: Map<ModelId, ModelDemand>, copies: Map<ModelId, Int>): Double {
-        val value = demand[model] ?: return 0.0
-        val held = copies[model] ?: 0
-        val work = value.workPerSecond + value.waiting * WAITING_WORK
-        return if (held == 0) work * UNREACHABLE_FACTOR else work / (held + 1)
+    /** Milliseconds of work a second that [copies] of a model leave undone. */
+    private fun undone(demand: ModelDemand?, copies: Int): Double {
+        if (demand == null) return 0.0
+        if (copies > 0) return max(0.0, demand.workPerSecond - copies * WORK_PER_COPY)
+        val isAsked = demand.waiting > 0 || demand.workPerSecond >= LEAST_WORK
+        return demand.workPerSecond + demand.waiting * WAITING_WORK + if (isAsked) UNREACHABLE_WORK else 0.0
     }
 
-    private fun loss(model: ModelId, demand: Map<ModelId, ModelDemand>, copies: Map<ModelId, Int>): Double {
-        val value = demand[model]
-        val held = copies[model] ?: 1
-        val work = (value?.workPerSecond ?: 0).toDouble()
-        return when {
-            // Dropping the last copy of a quiet model makes its next request wait for a load.
-            held <= 1 -> work * UNREACHABLE_FACTOR + LAST_COPY_LOSS
-
-            held - 1 >= copiesNeeded(value) -> work / held * SPARE_COPY_FACTOR
+    private fun gain(demand: ModelDemand?, copies: Int): Double = undone(demand, copies) - undone(demand, copies + 1)
 
-            else -> work / (held - 1)
-        }
+    private fun loss(demand: ModelDemand?, copies: Int): Double {
+        val lost = undone(demand, copies - 1) - undone(demand, copies)
+        // Dropping the last copy of a quiet model makes its next request wait for a load.
+        return if (copies <= 1) lost + LAST_COPY_LOSS else lost + SPARE_COPY_LOSS
     }
 
-    private fun swap(
+    private fun candidate(
         engine: EngineView,
         model: ServedModel,
         demand: Map<ModelId, ModelDemand>,
         copies: Map<ModelId, Int>,
-    ): Pair<Swap, Double>? {
+    ): Candidate? {
         if (model.id in engine.models) return null
+        val victims = engine.models
+            .filter { it !in engine.recent || (demand[it]?.workPerSecond ?: 0) < LEAST_WORK }
+            .map { it to loss(demand[it], copies[it] ?: 1) }
+            .sortedBy { (_, loss) -> loss }
         var free = engine.freeMegabytes
-        var loss = 0.0
-        val drop = mutableListOf<ModelId>()
-        val byLoss = engine.models.filter { it !in engine.recent || (demand[it]?.workPerSecond ?: 0) < LEAST_WORK }
-            .sortedBy { loss(it, demand, copies) }
-        for (victim in byLoss) {
-            if (free >= model.weightsMegabytes) break
-            free += engine.occupiedMegabytes[victim] ?: 0.0
-            loss += loss(victim, demand, copies)
-            drop += victim
+        val dropped = victims.takeWhile { (victim, _) ->
+            (free < model.weightsMegabytes).also { if (it) free += engine.occupiedMegabytes[victim] ?: 0.0 }
         }
         if (free < model.weightsMegabytes) return null
-        if (loss > 0 && gain(model.id, demand, copies) < loss * SWAP_ADVANTAGE) return null
+        val loss = dropped.sumOf { (_, loss) -> loss }
+        val swap = swap(engine, model, dropped.map { (victim, _) -> victim })
+        val disturbance = if (dropped.isEmpty()) 0.0 else engine.requests * REQUEST_DISTURBANCE
+        return Candidate(swap, loss, loss + disturbance + swap.loadMillis * LOAD_MILLIS_LOSS)
+    }
+
+    private fun swap(engine: EngineView, model: ServedModel, drop: List<ModelId>): Swap {
         val (loadMillis, fromStore) = when (model.id) {
             in engine.modelsInMemory -> model.memoryLoadMillis to false
             in engine.modelsOnDisk -> model.diskLoadMillis to false
             else -> model.storeLoadMillis to true
         }
-        val disturbance = if (drop.isEmpty()) 0.0 else engine.requests * REQUEST_DISTURBANCE
-        return Swap(engine.target, model.id, drop, loadMillis, fromStore) to
-            loss + disturbance + loadMillis * LOAD_MILLIS_LOSS
+        return Swap(engine.target, model.id, drop, loadMillis, fromStore)
     }
+
+    private class Candidate(val swap: Swap, val loss: Double, val cost: Double)
 }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/PromptSpeed.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/PromptSpeed.kt
@@ -8,6 +8,9 @@
     private val millisPerToken = HashMap<ModelId, Double>()
     private val serviceMillis = HashMap<ServiceId, Double>()
 
+    /** Learned milliseconds for a token of a prompt, by model. */
+    val byModel: Map<ModelId, Double> get() = millisPerToken
+
     fun millisPerToken(model: ModelId): Double = millisPerToken[model] ?: ASSUMED_MILLIS_PER_TOKEN
 
     fun serviceMillis(service: ServiceId): Double = serviceMillis[service] ?: ASSUMED_SERVICE_MILLIS
