--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/Defaults.kt
@@ -24,6 +24,9 @@
 /** Milliseconds after the store's return in which targets whose entries lapsed meanwhile may write them again. */
 internal const val ENTRY_RETURN_MILLIS = 2_100L
 
+/** Milliseconds without the store in which no entry lapses: two heartbeats of a target. */
+internal const val LEAST_LAPSE_MILLIS = 2_000L
+
 /** Milliseconds until the registration of this VM is tried again. */
 internal const val REGISTRATION_RETRY_MILLIS = 500L
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingPorts.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingPorts.kt
@@ -8,7 +8,7 @@
 import dev.bergamotwind.serving.store.FleetStore
 
 /** Everything outside an entry VM's decisions. */
-public class ServingPorts(
+public data class ServingPorts(
     /** Time and timers. */
     public val loop: ServingLoop,
     /** The platform's store. */
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -104,6 +104,7 @@
         targets.onChange = ::wakeSoon
         context.rates.onLargeSpending = ::beatSoon
         lease.onGranted = ::register
+        lease.onRenewed = follower::storeAnswered
         follower.start()
         lease.start()
         tick()
@@ -317,7 +318,7 @@
             term.caughtUp()
         }
 
-        override fun regained(): Unit = targetListener.regained()
+        override fun regained(silentMillis: Long): Unit = targetListener.regained(silentMillis)
     }
 
     /** Takes in what other VMs tell. */
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/TargetListener.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/TargetListener.kt
@@ -17,7 +17,7 @@
     private val recorder: EventRecorder,
 ) {
     private val present = HashSet<TargetId>()
-    private var believeRemovalsMillis = Long.MIN_VALUE
+    private var believeRemovalsMillis: Long? = null
 
     fun written(item: StoreItem) {
         val id = decoder.targetId(item.key)
@@ -52,12 +52,13 @@
     fun removed(key: String) {
         val id = decoder.targetId(key)
         present -= id
-        val wait = believeRemovalsMillis - loop.nowMillis()
+        val wait = believeRemovalsMillis?.let { it - loop.nowMillis() } ?: 0
         if (wait <= 0) remove(id) else loop.schedule(wait) { if (id !in present) remove(id) }
     }
 
-    fun regained() {
-        believeRemovalsMillis = loop.nowMillis() + ENTRY_RETURN_MILLIS
+    /** The store answers again after [silentMillis]; entries lapse only after some heartbeats without it. */
+    fun regained(silentMillis: Long) {
+        if (silentMillis >= LEAST_LAPSE_MILLIS) believeRemovalsMillis = loop.nowMillis() + ENTRY_RETURN_MILLIS
     }
 
     private fun remove(id: TargetId) {
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/Call.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/Call.kt
@@ -4,7 +4,7 @@
 import dev.bergamotwind.api.RequestId
 
 /** A caller's request, decoded by the edge that received it. */
-public class Call(
+public data class Call(
     /** Id of this request; null when the caller sent none. */
     public val id: RequestId?,
     /** Method to forward unchanged. */
--- /dev/null
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallAttempt.kt
@@ -0,0 +1,158 @@
+package dev.bergamotwind.serving.call
+
+import dev.bergamotwind.api.CallerExchange
+import dev.bergamotwind.serving.catalogue.RouteKind
+import dev.bergamotwind.serving.targets.AttemptLoad
+import dev.bergamotwind.serving.targets.REPLACED_SUSPENSION_MILLIS
+import dev.bergamotwind.serving.targets.TargetChoice
+import dev.bergamotwind.serving.targets.TargetState
+
+/** One attempt to have a call answered by a target; judges the answer and relays it. Used on the serving loop. */
+internal class CallAttempt(
+    val choice: TargetChoice,
+    val load: AttemptLoad,
+    private val call: Call,
+    private val progress: CallProgress,
+    private val relay: AnswerRelay,
+    private val exchange: CallerExchange,
+    private val context: ServingContext,
+    private val owner: AttemptOwner,
+) : AttemptListener {
+    private val isStream = progress.route?.kind == RouteKind.STREAMING
+    private var handle: Attempt? = null
+    private var head: AnswerHead? = null
+
+    /** Time of the last byte of the answer, or of the sending. */
+    var lastByteMillis = context.loop.nowMillis()
+        private set
+
+    /** True once a byte of the answer's body has arrived. */
+    var hasBytes = false
+        private set
+
+    /** True while the caller reads too slowly, so that the answer is not read either. */
+    var isPaused = false
+        private set
+
+    /** The target that is asked. */
+    val target: TargetState get() = choice.target
+
+    /** True when a refusal concerns this request only, so that the target may be asked again later. */
+    var mayAskAgain = false
+        private set
+
+    private val isActive get() = owner.isActive(this)
+    private val now get() = context.loop.nowMillis()
+
+    /** Sends [request]. */
+    fun send(request: TargetRequest) {
+        handle = context.transport.send(target.record, request, this)
+    }
+
+    /** Ends the attempt so that the target stops work. */
+    fun cancel() {
+        handle?.cancel()
+    }
+
+    override fun head(head: AnswerHead) {
+        if (!isActive) return
+        heard()
+        this.head = head
+        head.load?.let { target.reported(it, now) }
+        if (!head.isOwn || (head.isSuccess && !head.isSigned)) {
+            return spoiled("the answer is not the target's own answer to this request")
+        }
+        if (!head.notRun) relay.begin(head, isStream && head.isSuccess)
+    }
+
+    override fun bytes(bytes: ByteArray) {
+        val current = head
+        if (!isActive || current == null || current.notRun) return
+        heard()
+        if (isStream && current.isSuccess && !hasBytes) context.picker.answered(target, load, call.work)
+        hasBytes = true
+        if (!relay.bytes(bytes)) return spoiled("the answer cannot be read")
+        if (!exchange.isWritable && !isPaused) pause()
+    }
+
+    override fun complete() {
+        val current = head
+        if (!isActive || current == null) return
+        when {
+            current.notRun -> refused(current)
+            contradicts(current) -> spoiled("status ${current.status} without the statement that it was not run")
+            shouldReplace(current) -> spoiled("status ${current.status}")
+            else -> answered(current)
+        }
+    }
+
+    override fun notSent(reason: String) {
+        if (!isActive) return
+        target.health.unreachable(now)
+        owner.notRun(this, reason, arrived = false)
+    }
+
+    override fun broken(reason: String) {
+        if (!isActive) return
+        target.health.failed(now)
+        owner.failed(this, reason)
+    }
+
+    private fun heard() {
+        lastByteMillis = now
+        target.health.heard(lastByteMillis)
+    }
+
+    private fun spoiled(reason: String) {
+        handle?.cancel()
+        target.health.failed(now)
+        owner.failed(this, reason)
+    }
+
+    private fun pause() {
+        isPaused = true
+        handle?.pause(true)
+        exchange.onWritable = {
+            isPaused = false
+            lastByteMillis = now
+            if (isActive) handle?.pause(false)
+        }
+    }
+
+    private fun refused(head: AnswerHead) {
+        val work = call.work
+        when {
+            head.answeredByOther -> target.health.suspend(now, REPLACED_SUSPENSION_MILLIS)
+
+            head.misdirected && work != null -> {
+                val lacked = work.adapter.takeIf { target.holds(work.model, null, now) }
+                target.lacks(work.model, lacked, now)
+                mayAskAgain = true
+            }
+
+            else -> target.health.failed(now)
+        }
+        owner.notRun(this, "refused with status ${head.status}", arrived = true)
+    }
+
+    /** These statuses promise that the request has not run, which only the target could know. */
+    private fun contradicts(head: AnswerHead): Boolean =
+        !relay.isStarted && (head.status in PROMISES_NOT_RUN || !head.isSigned)
+
+    /** A failure of the target itself; another one may do better, if the request may run again. */
+    private fun shouldReplace(head: AnswerHead): Boolean =
+        head.status >= FIRST_SERVER_ERROR && progress.mayRunAgain && !relay.isStarted
+
+    private fun answered(head: AnswerHead) {
+        if (!isStream) context.picker.answered(target, load, call.work)
+        if (head.status >= FIRST_SERVER_ERROR) target.health.failed(now)
+        if (!relay.complete()) return spoiled("the stream ended within an event")
+        if (head.isSuccess) target.health.succeeded(now)
+        owner.answered(this, head.status)
+    }
+
+    private companion object {
+        const val FIRST_SERVER_ERROR = 500
+        val PROMISES_NOT_RUN = setOf(408, 421, 429, 503)
+    }
+}
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallGate.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallGate.kt
@@ -11,21 +11,21 @@
 internal object CallGate {
     /** Returns the route and team of [call], or why it is refused. */
     fun check(configuration: ServedConfiguration?, call: Call): Either<Refusal, Passed> {
-        if (configuration == null) {
-            return Refusal(
-                RefusalKind.UNAVAILABLE,
-                "no configuration is known yet",
-                NO_CONFIGURATION_RETRY_MILLIS,
-            ).left()
-        }
-        val route = configuration.route(call.host, call.pathOnly)
-            ?: return Refusal(RefusalKind.NO_ROUTE, "no route for ${call.host}${call.pathOnly}").left()
-        if (configuration.teams == null || route.isOpen) {
-            return Passed(route, call.key?.let(configuration::team).takeUnless { route.isOpen }).right()
+        val route = configuration?.route(call.host, call.pathOnly)
+        val team = call.key?.let { configuration?.team(it) }
+        return when {
+            configuration == null ->
+                Refusal(RefusalKind.UNAVAILABLE, "no configuration is known yet", NO_CONFIGURATION_RETRY_MILLIS).left()
+
+            route == null -> Refusal(RefusalKind.NO_ROUTE, "no route for ${call.host}${call.pathOnly}").left()
+
+            route.isOpen -> Passed(route, null).right()
+
+            team == null && configuration.teams != null ->
+                Refusal(RefusalKind.UNAUTHENTICATED, "the key is missing or unknown").left()
+
+            else -> Passed(route, team).right()
         }
-        val team = call.key?.let(configuration::team)
-            ?: return Refusal(RefusalKind.UNAUTHENTICATED, "the key is missing or unknown").left()
-        return Passed(route, team).right()
     }
 
     /** Units of its team's rate that [call] uses. */
--- /dev/null
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallJournal.kt
@@ -0,0 +1,40 @@
+package dev.bergamotwind.serving.call
+
+import dev.bergamotwind.core.event
+
+/** Records what is decided about one call. */
+internal class CallJournal(
+    private val call: Call,
+    private val progress: CallProgress,
+    private val context: ServingContext,
+) {
+    /** The call is over. */
+    fun ended(outcome: String, status: Int?, refusal: Refusal?): Unit =
+        context.recorder.event("request.ended", call.id) {
+            field("outcome", outcome)
+            field("status", refusal?.status ?: status)
+            field("reason", refusal?.reason)
+            field("route", progress.route?.id)
+            field("team", progress.team?.id)
+            field("model", call.work?.model)
+            field("adapter", call.work?.adapter)
+            field("millis", context.loop.nowMillis() - progress.startedMillis)
+            field("deadline_millis", call.deadlineMillis)
+            field("sends", progress.sends)
+            field("last_failure", progress.lastFailure)
+            field("configuration", context.configuration?.version)
+            field("retry_after_millis", refusal?.retryAfterMillis)
+        }
+
+    /** An attempt has failed. */
+    fun failed(attempt: CallAttempt, reason: String) {
+        val now = context.loop.nowMillis()
+        context.recorder.event("attempt.failed", call.id) {
+            field("target", attempt.target.record.id)
+            field("reason", reason)
+            field("millis", now - attempt.load.sentMillis)
+            field("predicted_millis", attempt.choice.predictedMillis.toLong())
+            field("failure_share", "%.2f".format(attempt.target.health.currentFailureShare(now)))
+        }
+    }
+}
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/Defaults.kt
@@ -27,9 +27,6 @@
 /** Longest wait for an adapter at one target; the order and the load take a tenth of it. */
 internal const val ADAPTER_WAIT_MILLIS = 700L
 
-/** Milliseconds of an engine for one generated token while many requests share its steps. */
-internal const val OUTPUT_TOKEN_MILLIS = 0.35
-
 /** Milliseconds that a new connection may take; several round trips between regions. */
 internal const val CONNECT_TIMEOUT_MILLIS = 400L
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/Peers.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/Peers.kt
@@ -17,32 +17,32 @@
     private val isSameRegion: (FailureDomainId) -> Boolean,
     private val listener: PeerListener,
 ) {
-    private val peers = LinkedHashMap<VmId, PeerState>()
+    private val states = LinkedHashMap<VmId, PeerState>()
     private val codec = Cbor { preferCborLabelsOverNames = true }
     private var number = 0L
     private var lastSentMillis = -PEER_BEAT_MILLIS
     private var farSentMillis = -PEER_BEAT_MILLIS
 
     /** VMs that may be running, this one included. */
-    public val count: Int get() = 1 + loop.nowMillis().let { now -> peers.values.count { it.mayRun(now) } }
+    public val count: Int get() = 1 + loop.nowMillis().let { now -> states.values.count { it.mayRun(now) } }
 
     /** Part of the VMs that may be running that are heard from, this one included. */
     public val heardShare: Double
         get() {
             val now = loop.nowMillis()
-            return (1.0 + peers.values.count { it.isHeard(now) }) / (1 + peers.values.count { it.mayRun(now) })
+            return (1.0 + states.values.count { it.isHeard(now) }) / (1 + states.values.count { it.mayRun(now) })
         }
 
     /** The last beats of the VMs that are heard from. */
     internal fun heardBeats(): List<PeerBeat> {
         val now = loop.nowMillis()
-        return peers.values.filter { it.isHeard(now) }.mapNotNull { it.beat }
+        return states.values.filter { it.isHeard(now) }.mapNotNull { it.beat }
     }
 
     /** A VM has registered itself. */
     public fun joined(member: PeerMember) {
         if (member.vm == own) return
-        val peer = peers.getOrPut(member.vm) { PeerState() }
+        val peer = states.getOrPut(member.vm) { PeerState() }
         peer.member = member
         peer.leftMillis = null
         peer.address = InetSocketAddress(member.host, member.port)
@@ -50,7 +50,7 @@
 
     /** The registration of [vm] has ended. */
     public fun left(vm: VmId) {
-        val peer = peers[vm] ?: return
+        val peer = states[vm] ?: return
         peer.member = null
         peer.leftMillis = loop.nowMillis()
     }
@@ -64,7 +64,7 @@
         val reachesFar = isUrgent || lastSentMillis - farSentMillis >= PEER_FAR_BEAT_MILLIS
         if (reachesFar) farSentMillis = lastSentMillis
         val bytes = codec.encodeToByteArray(PeerBeat.serializer(), beat.copy(number = ++number))
-        for (peer in peers.values) {
+        for (peer in states.values) {
             val address = peer.address ?: continue
             if (reachesFar || isNear(peer)) transport.send(address, bytes)
         }
@@ -90,7 +90,7 @@
             return
         }
         if (beat.vm == own) return
-        val peer = peers.getOrPut(beat.vm) { PeerState() }
+        val peer = states.getOrPut(beat.vm) { PeerState() }
         val known = peer.beat
         val isOld = known != null && (
             beat.incarnation < known.incarnation ||
@@ -106,14 +106,14 @@
     /** Forgets VMs that are gone, and tells the listener of those that have fallen silent. */
     internal fun sweep() {
         val now = loop.nowMillis()
-        for ((vm, peer) in peers) {
+        for ((vm, peer) in states) {
             if (peer.beat == null || peer.isHeard(now)) continue
             peer.beat = peer.beat?.copy(loads = emptyMap(), demand = emptyMap())
             listener.silent(vm)
         }
-        peers.values.removeIf { !it.mayRun(now) }
+        states.values.removeIf { !it.mayRun(now) }
     }
 
     private fun beatIntervalMillis(): Long =
-        (PEER_BEAT_PER_VM_MILLIS * (peers.size + 1)).coerceIn(PEER_BEAT_MILLIS, PEER_BEAT_LONGEST_MILLIS)
+        (PEER_BEAT_PER_VM_MILLIS * (states.size + 1)).coerceIn(PEER_BEAT_MILLIS, PEER_BEAT_LONGEST_MILLIS)
 }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/EngineSeat.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/EngineSeat.kt
@@ -2,9 +2,11 @@
 
 import dev.bergamotwind.api.AdapterId
 import dev.bergamotwind.api.ModelId
+import dev.bergamotwind.serving.catalogue.EngineProfile
+import dev.bergamotwind.serving.peer.TargetHoldings
 import dev.bergamotwind.serving.targets.TargetState
 
-/** What the holder of orders knows and does about one engine. */
+/** What the holder of orders knows about one engine. */
 internal class EngineSeat(val target: TargetState) {
     /** Models held, each with its adapters, as the orders and reports so far tell. */
     val models = HashMap<ModelId, MutableSet<AdapterId>>()
@@ -13,7 +15,7 @@
     val adapterUse = HashMap<Pair<ModelId, AdapterId>, Long>()
 
     /** Adapters that requests wait for, oldest first. */
-    val wanted = LinkedHashMap<Pair<ModelId, AdapterId>, Long>()
+    val wanted = LinkedHashSet<Pair<ModelId, AdapterId>>()
 
     /** Adapters that the engine drops once no request uses them; until then they occupy their places. */
     val leavingAdapters = HashSet<Pair<ModelId, AdapterId>>()
@@ -42,9 +44,8 @@
     /** Adapters of all models, those that are being dropped included. */
     val adapterCount: Int get() = models.values.sumOf { it.size } + leavingAdapters.size
 
-    /** Adapters of [model], those that are being dropped included. */
-    fun adapterCount(model: ModelId): Int =
-        (models[model]?.size ?: 0) + leavingAdapters.count { (of, _) -> of == model }
+    /** What is told to the other VMs. */
+    val holdings: TargetHoldings get() = TargetHoldings(target.record.id, models.mapValues { it.value.toSet() })
 
     /** The engine says what it holds. */
     fun reported(held: Map<ModelId, Set<AdapterId>>) {
@@ -54,4 +55,37 @@
             models[model] = adapters.filterTo(HashSet()) { (model to it) !in leavingAdapters }
         }
     }
+
+    /** Megabytes that neither models nor adapters occupy, those that are being dropped included. */
+    fun freeMegabytes(profile: EngineProfile): Double {
+        val leaving = step?.takeIf { it.kind == OrderKind.UNLOAD }?.model
+        val held = models.keys + setOfNotNull(leaving)
+        return profile.weightsMegabytes - held.sumOf { occupiedMegabytes(it, profile) }
+    }
+
+    /** What the planner sees of the engine. */
+    fun view(profile: EngineProfile, nowMillis: Long): EngineView {
+        val record = target.record
+        val isReachable = !target.health.isSuspended(nowMillis)
+        val isIdle = acceptedOrders != null && step == null && swap == null && nowMillis >= pausedUntilMillis
+        return EngineView(
+            target = record.id,
+            models = models.keys.toSet(),
+            coming = swap?.load ?: step?.takeIf { it.kind == OrderKind.LOAD }?.model,
+            isReachable = isReachable,
+            isFree = isIdle && isReachable,
+            freeMegabytes = freeMegabytes(profile),
+            occupiedMegabytes = models.keys.associateWith { occupiedMegabytes(it, profile) },
+            modelsInMemory = record.modelsInMemory,
+            modelsOnDisk = record.modelsOnDisk,
+            recent = loadedMillis.filterValues { nowMillis - it < RECENT_LOAD_MILLIS }.keys,
+            requests = target.peerLoad.requests + target.attempts.size,
+        )
+    }
+
+    private fun occupiedMegabytes(model: ModelId, profile: EngineProfile): Double {
+        val known = profile.models[model] ?: return profile.weightsMegabytes
+        val adapters = (models[model]?.size ?: 0) + leavingAdapters.count { (of, _) -> of == model }
+        return known.weightsMegabytes + adapters * known.adapterMegabytes
+    }
 }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementTerm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementTerm.kt
@@ -102,6 +102,7 @@
         }
     }
 
+    /** Keys in the store. */
     public companion object {
         /** Key of the holder item. */
         public const val HOLDER_KEY: String = "bergamotwind/placement/holder"
--- /dev/null
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SeatListener.kt
@@ -0,0 +1,10 @@
+package dev.bergamotwind.serving.placement
+
+/** Hears what becomes of an engine's orders. */
+internal interface SeatListener {
+    /** What the engine holds may have changed. */
+    fun changed(seat: EngineSeat)
+
+    /** A load from the weight store begins. */
+    fun storeLoadBegan(seat: EngineSeat)
+}
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SwapPlanner.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SwapPlanner.kt
@@ -19,34 +19,45 @@
             (engine.models + setOfNotNull(engine.coming)).forEach { copies.merge(it, 1, Int::plus) }
         }
         val free = engines.filter { it.isFree }.toMutableList()
-        val hopeless = HashSet<ModelId>()
+        val settled = HashSet<ModelId>()
         var storeLoadsLeft = storeLoads
         val swaps = mutableListOf<Swap>()
-        while (free.isNotEmpty()) {
-            val model = neediest(demand, copies, hopeless) ?: break
-            val needed = gain(demand[model.id], copies[model.id] ?: 0)
-            val swap = free.mapNotNull { candidate(it, model, demand, copies) }
-                .filter { needed > it.loss * SWAP_ADVANTAGE && (!it.swap.fromStore || storeLoadsLeft > 0) }
-                .minByOrNull { it.cost }?.swap
+        var model = neediest(demand, copies, settled)
+        while (model != null && free.isNotEmpty()) {
+            val swap = bestSwap(free, model, demand, copies, storeLoadsLeft)
             if (swap == null) {
-                hopeless += model.id
-                continue
+                settled += model.id
+            } else {
+                if (swap.fromStore) storeLoadsLeft--
+                swaps += swap
+                free.removeIf { it.target == swap.target }
+                copies.merge(model.id, 1, Int::plus)
+                swap.drop.forEach { copies.merge(it, -1, Int::plus) }
             }
-            if (swap.fromStore) storeLoadsLeft--
-            swaps += swap
-            free.removeIf { it.target == swap.target }
-            copies.merge(model.id, 1, Int::plus)
-            swap.drop.forEach { copies.merge(it, -1, Int::plus) }
+            model = neediest(demand, copies, settled)
         }
         return swaps
     }
 
+    private fun bestSwap(
+        free: List<EngineView>,
+        model: ServedModel,
+        demand: Map<ModelId, ModelDemand>,
+        copies: Map<ModelId, Int>,
+        storeLoads: Int,
+    ): Swap? {
+        val gain = gain(demand[model.id], copies[model.id] ?: 0)
+        return free.mapNotNull { candidate(it, model, demand, copies) }
+            .filter { gain > it.loss * SWAP_ADVANTAGE && (!it.swap.fromStore || storeLoads > 0) }
+            .minByOrNull { it.cost }?.swap
+    }
+
     private fun neediest(
         demand: Map<ModelId, ModelDemand>,
         copies: Map<ModelId, Int>,
-        hopeless: Set<ModelId>,
+        settled: Set<ModelId>,
     ): ServedModel? = demand.entries
-        .filter { (model, _) -> model !in hopeless && model in profile.models }
+        .filter { (model, _) -> model !in settled && model in profile.models }
         .map { (model, value) -> model to gain(value, copies[model] ?: 0) }
         .filter { (_, gain) -> gain >= LEAST_GAIN }
         .maxByOrNull { (_, gain) -> gain }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/StoreFollower.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/StoreFollower.kt
@@ -23,9 +23,12 @@
     private var stopped = false
     private var cancelWatch: () -> Unit = {}
 
-    /** Time of the last answer of the store, or null. */
-    public var contactMillis: Long? = null
-        private set
+    private var contactMillis: Long? = null
+
+    /** The store has answered another call of this VM. */
+    public fun storeAnswered() {
+        contactMillis = loop.nowMillis()
+    }
 
     /** Starts following. */
     public fun start(): Unit = read()
@@ -104,7 +107,7 @@
                 field("prefix", prefix)
                 field("failures", failures)
             }
-            listener.regained()
+            listener.regained(contactMillis?.let { loop.nowMillis() - it } ?: 0)
         }
         failures = 0
         contactMillis = loop.nowMillis()
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/StoreListener.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/StoreListener.kt
@@ -11,6 +11,9 @@
     /** All items have been read once. */
     public fun caughtUp()
 
-    /** The store answers again after an interruption; called before the changes that were missed. */
-    public fun regained()
+    /**
+     * The store answers again after it did not for [silentMillis], as far as this VM knows; called before the changes
+     * that were missed.
+     */
+    public fun regained(silentMillis: Long)
 }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/Defaults.kt
@@ -91,3 +91,6 @@
 internal const val SAME_DOMAIN_MILLIS = 2.0
 internal const val SAME_REGION_MILLIS = 4.0
 internal const val OTHER_REGION_MILLIS = 42.0
+
+/** Milliseconds of an engine for one generated token while many requests share its steps. */
+internal const val OUTPUT_TOKEN_MILLIS = 0.35
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/PromptSpeed.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/PromptSpeed.kt
@@ -2,6 +2,7 @@
 
 import dev.bergamotwind.api.ModelId
 import dev.bergamotwind.api.ServiceId
+import dev.bergamotwind.serving.call.ModelWork
 
 /** Learns how long engines take to read prompts, by model, and how long plain services work on a request. */
 internal class PromptSpeed {
@@ -13,6 +14,10 @@
 
     fun millisPerToken(model: ModelId): Double = millisPerToken[model] ?: ASSUMED_MILLIS_PER_TOKEN
 
+    /** Milliseconds of an engine's time that [work] needs. */
+    fun workMillis(work: ModelWork): Double =
+        work.promptTokens * millisPerToken(work.model) + (work.memoryTokens - work.promptTokens) * OUTPUT_TOKEN_MILLIS
+
     fun serviceMillis(service: ServiceId): Double = serviceMillis[service] ?: ASSUMED_SERVICE_MILLIS
 
     /** A first event came after [observedMillis] where [predictedMillis] were predicted. */
