Serve on the users' platform: a serving path, an HTTP transport and an adapter

Cause: the product spoke its own interface only; the users' machines speak another one and have neither a disk nor a machine for control. Change: bergamotwind-serving decides (admission, rates over all VMs, choice of target, attempts, waiting for models, orders to engines), bergamotwind-transport carries HTTP/1.1 and datagrams over Netty, platform/ translates.

--- /dev/null
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Fakes.kt
@@ -0,0 +1,231 @@
+package dev.bergamotwind.serving
+
+import arrow.core.left
+import arrow.core.right
+import dev.bergamotwind.api.CallerExchange
+import dev.bergamotwind.api.Header
+import dev.bergamotwind.serving.call.AnswerHead
+import dev.bergamotwind.serving.call.Attempt
+import dev.bergamotwind.serving.call.AttemptListener
+import dev.bergamotwind.serving.call.TargetRequest
+import dev.bergamotwind.serving.call.TargetTransport
+import dev.bergamotwind.serving.placement.OrderOutcome
+import dev.bergamotwind.serving.placement.OrderTransport
+import dev.bergamotwind.serving.placement.TargetOrder
+import dev.bergamotwind.serving.placement.TargetReport
+import dev.bergamotwind.serving.store.FleetStore
+import dev.bergamotwind.serving.store.StoreChange
+import dev.bergamotwind.serving.store.StoreChanges
+import dev.bergamotwind.serving.store.StoreFailure
+import dev.bergamotwind.serving.store.StoreItem
+import dev.bergamotwind.serving.store.StoreLease
+import dev.bergamotwind.serving.store.StorePage
+import dev.bergamotwind.serving.store.StoreReply
+import dev.bergamotwind.serving.store.StoreWrite
+import dev.bergamotwind.serving.targets.TargetRecord
+
+/** Notes what a caller receives. */
+class FakeExchange : CallerExchange {
+    override var onGone: (() -> Unit)? = null
+    override var onWritable: (() -> Unit)? = null
+    override var isWritable = true
+    var status: Int? = null
+    var headers: List<Header> = emptyList()
+    var body = ""
+    var isComplete = false
+    var isAborted = false
+
+    override fun answer(status: Int, headers: List<Header>, body: ByteArray, close: Boolean) {
+        start(status, headers, close)
+        write(body)
+        finish()
+    }
+
+    override fun start(status: Int, headers: List<Header>, close: Boolean) {
+        check(this.status == null) { "two answers" }
+        this.status = status
+        this.headers = headers
+    }
+
+    override fun write(bytes: ByteArray) {
+        body += bytes.decodeToString()
+    }
+
+    override fun finish() {
+        isComplete = true
+    }
+
+    override fun abort() {
+        isAborted = true
+    }
+}
+
+/** Notes the attempts; the test answers them. */
+class FakeTargets : TargetTransport {
+    class Sent(val target: TargetRecord, val request: TargetRequest, val listener: AttemptListener) : Attempt {
+        var isCancelled = false
+        var isPaused = false
+
+        override fun cancel() {
+            isCancelled = true
+        }
+
+        override fun pause(paused: Boolean) {
+            isPaused = paused
+        }
+
+        fun head(status: Int, notRun: Boolean = false, isSigned: Boolean = !notRun, isOwn: Boolean = true) =
+            listener.head(
+                AnswerHead(status, emptyList(), notRun, status == 421, false, isSigned, isOwn, null),
+            )
+
+        fun answer(status: Int, body: String = "body", notRun: Boolean = false, isSigned: Boolean = !notRun) {
+            head(status, notRun, isSigned)
+            listener.bytes(body.toByteArray())
+            listener.complete()
+        }
+
+        fun event(id: Long) = listener.bytes("id: $id\ndata: token$id\n\n".toByteArray())
+    }
+
+    val sent = mutableListOf<Sent>()
+
+    override fun send(target: TargetRecord, request: TargetRequest, listener: AttemptListener): Attempt =
+        Sent(target, request, listener).also { sent += it }
+}
+
+/** Notes the orders; the test, or an engine that it sets, answers them. */
+class FakeOrders : OrderTransport {
+    var onReport: (TargetRecord) -> TargetReport? = { TargetReport(it.models, false, 0) }
+    var onOrder: (
+        TargetRecord,
+        TargetOrder,
+        (OrderOutcome) -> Unit,
+    ) -> Unit = { _, _, reply -> reply(OrderOutcome.ACCEPTED) }
+    val given = mutableListOf<TargetOrder>()
+
+    override fun report(target: TargetRecord, reply: (TargetReport?) -> Unit) = reply(onReport(target))
+
+    override fun order(target: TargetRecord, order: TargetOrder, reply: (OrderOutcome) -> Unit) {
+        given += order
+        onOrder(target, order, reply)
+    }
+}
+
+/** A store in memory whose replies come over the loop; [failure] makes calls fail, [losesAnswers] after their effect. */
+class FakeStore(private val loop: ManualLoop) : FleetStore {
+    private class Watch(val prefix: String, val after: Long, val reply: StoreReply<StoreChanges>)
+
+    val items = sortedMapOf<String, StoreItem>()
+    private val log = mutableListOf<StoreChange>()
+    private val watches = mutableListOf<Watch>()
+    private val leases = HashMap<Long, Pair<Long, () -> Unit>>()
+    private var revision = 1L
+    private var lastLease = 100L
+    private var forgottenUntil = 0L
+    var failure: StoreFailure? = null
+    var losesAnswers = false
+    var calls = 0
+
+    fun put(key: String, value: ByteArray, lease: Long = 0) {
+        revision++
+        val created = items[key]?.createRevision ?: revision
+        val item = StoreItem(key, value, revision, created, lease)
+        items[key] = item
+        changed(StoreChange(key, revision, item))
+    }
+
+    fun remove(key: String) {
+        if (items.remove(key) != null) changed(StoreChange(key, ++revision, null))
+    }
+
+    fun forgetHistory() {
+        forgottenUntil = revision
+        watches.toList().forEach { end(it) { reply -> reply(StoreFailure.HISTORY_GONE.left()) } }
+    }
+
+    fun cutWatches() = watches.toList().forEach { end(it) { reply -> reply(StoreFailure.UNKNOWN.left()) } }
+
+    override fun range(prefix: String, after: String?, reply: StoreReply<StorePage>) = call(reply) {
+        StorePage(items.values.filter { it.key.startsWith(prefix) }, false, revision).right()
+    }
+
+    override fun watch(prefix: String, after: Long, waitMillis: Long, reply: StoreReply<StoreChanges>): () -> Unit {
+        calls++
+        val watch = Watch(prefix, after, reply)
+        when {
+            failure != null -> loop.schedule(1) { reply(failure!!.left()) }
+
+            after < forgottenUntil -> loop.schedule(1) { reply(StoreFailure.HISTORY_GONE.left()) }
+
+            else -> {
+                watches += watch
+                loop.schedule(1) { deliver() }
+                loop.schedule(waitMillis) { end(watch) { it(StoreChanges(emptyList(), revision).right()) } }
+            }
+        }
+        return { watches -= watch }
+    }
+
+    override fun write(write: StoreWrite, reply: StoreReply<Long>) = call(reply) {
+        if (write.expected.any { (key, expected) -> (items[key]?.revision ?: 0) != expected }) {
+            StoreFailure.CONFLICT.left()
+        } else if (write.puts.any { it.lease != 0L && it.lease !in leases }) {
+            StoreFailure.MISSING.left()
+        } else {
+            write.puts.forEach { put(it.key, it.value, it.lease) }
+            write.removes.forEach(::remove)
+            revision.right()
+        }
+    }
+
+    override fun grant(timeToLiveMillis: Long, reply: StoreReply<StoreLease>) = call(reply) {
+        val id = ++lastLease
+        leases[id] = timeToLiveMillis to expiry(id, timeToLiveMillis)
+        StoreLease(id, timeToLiveMillis).right()
+    }
+
+    override fun renew(lease: Long, reply: StoreReply<Long>) = call(reply) {
+        val (timeToLive, cancel) = leases[lease] ?: return@call StoreFailure.MISSING.left()
+        cancel()
+        leases[lease] = timeToLive to expiry(lease, timeToLive)
+        timeToLive.right()
+    }
+
+    override fun end(lease: Long, reply: StoreReply<Unit>) = call(reply) {
+        expire(lease)
+        Unit.right()
+    }
+
+    fun expire(lease: Long) {
+        leases.remove(lease)?.second?.invoke()
+        items.values.filter { it.lease == lease }.forEach { remove(it.key) }
+    }
+
+    private fun expiry(id: Long, timeToLive: Long) = loop.schedule(timeToLive) { expire(id) }
+
+    private fun <T> call(reply: StoreReply<T>, effect: () -> arrow.core.Either<StoreFailure, T>) {
+        calls++
+        val failing = failure
+        loop.schedule(1) {
+            val result = if (failing == null) effect() else failing.left()
+            loop.schedule(1) { reply(if (losesAnswers) StoreFailure.UNKNOWN.left() else result) }
+        }
+    }
+
+    private fun changed(change: StoreChange) {
+        log += change
+        loop.schedule(0) { deliver() }
+    }
+
+    private fun deliver() {
+        for (watch in watches.toList()) {
+            val changes = log.filter { it.revision > watch.after && it.key.startsWith(watch.prefix) }
+            if (changes.isNotEmpty()) end(watch) { it(StoreChanges(changes, revision).right()) }
+        }
+    }
+
+    private fun end(watch: Watch, answer: (StoreReply<StoreChanges>) -> Unit) {
+        if (watches.remove(watch)) answer(watch.reply)
+    }
+}
--- /dev/null
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/ManualLoop.kt
@@ -0,0 +1,39 @@
+package dev.bergamotwind.serving
+
+import java.util.PriorityQueue
+
+/** A serving loop whose time moves only when told to. */
+class ManualLoop(startMillis: Long = 0, wallStartMillis: Long = 1_700_000_000_000) : ServingLoop {
+    private class Timer(val atMillis: Long, val number: Long, val action: () -> Unit)
+
+    private val timers = PriorityQueue(compareBy<Timer>({ it.atMillis }, { it.number }))
+    private var millis = startMillis
+    private var wallOffset = wallStartMillis - startMillis
+    private var number = 0L
+
+    override fun nowMillis(): Long = millis
+
+    override fun wallMillis(): Long = millis + wallOffset
+
+    override fun schedule(delayMillis: Long, action: () -> Unit): () -> Unit {
+        val timer = Timer(millis + delayMillis.coerceAtLeast(0), number++, action)
+        timers += timer
+        return { timers -= timer }
+    }
+
+    /** Moves time on and runs the timers that become due, in order. */
+    fun advance(forMillis: Long) {
+        val end = millis + forMillis
+        while (timers.isNotEmpty() && timers.peek().atMillis <= end) {
+            val timer = timers.poll()
+            millis = timer.atMillis
+            timer.action()
+        }
+        millis = end
+    }
+
+    /** Lets only the wall clock pass, as during a suspension of the VM. */
+    fun suspendFor(forMillis: Long) {
+        wallOffset += forMillis
+    }
+}
--- /dev/null
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/TargetListenerSpec.kt
@@ -0,0 +1,88 @@
+package dev.bergamotwind.serving
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import dev.bergamotwind.api.EventRecorder
+import dev.bergamotwind.api.TargetId
+import dev.bergamotwind.serving.catalogue.ServedConfiguration
+import dev.bergamotwind.serving.store.StoreItem
+import dev.bergamotwind.serving.targets.TargetBook
+import dev.bergamotwind.serving.targets.TargetRecord
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+
+/** Guards against requests to targets that have left, and against losing targets that only could not write. */
+class TargetListenerSpec {
+    data class RemovalCase(
+        val name: String,
+        val clockOriginMillis: Long,
+        val silentMillis: Long?,
+        val returnsAfterMillis: Long?,
+        val knownAfter: Map<Long, Boolean>,
+    ) {
+        override fun toString() = name
+    }
+
+    @ParameterizedTest
+    @MethodSource("removals")
+    fun `believes a removal when nothing speaks against it`(case: RemovalCase) {
+        val loop = ManualLoop(case.clockOriginMillis)
+        val book = TargetBook(loop)
+        val listener = TargetListener(book, loop, Decoder, EventRecorder.None)
+        listener.written(item("t1"))
+        case.silentMillis?.let(listener::regained)
+        listener.removed("targets/t1")
+        case.returnsAfterMillis?.let { loop.schedule(it) { listener.written(item("t1")) } }
+        var elapsed = 0L
+        for ((atMillis, isKnown) in case.knownAfter.toSortedMap()) {
+            loop.advance(atMillis - elapsed)
+            elapsed = atMillis
+            assertEquals(isKnown, book.target(TargetId("t1")) != null) { "after $atMillis ms" }
+        }
+    }
+
+    @ParameterizedTest
+    @MethodSource("unreadable")
+    fun `an entry that cannot be read names no target`(text: String) {
+        val loop = ManualLoop()
+        val book = TargetBook(loop)
+        val listener = TargetListener(book, loop, Decoder, EventRecorder.None)
+        listener.written(item("t1"))
+        listener.written(item("t2"))
+        listener.written(item("t1", text))
+        assertEquals(listOf(TargetId("t2")), book.all.map { it.record.id })
+    }
+
+    private object Decoder : StoreDecoder {
+        override fun configuration(item: StoreItem): Either<String, ServedConfiguration> = "none".left()
+
+        override fun target(item: StoreItem): Either<String, TargetRecord> = if (item.value.decodeToString() ==
+            "good"
+        ) {
+            Samples.record(targetId(item.key).value).right()
+        } else {
+            "bad".left()
+        }
+
+        override fun targetId(key: String): TargetId = TargetId(key.removePrefix("targets/"))
+    }
+
+    companion object {
+        private fun item(name: String, text: String = "good") = StoreItem("targets/$name", text.toByteArray(), 2, 1, 0)
+
+        // The steady clock may start anywhere; a sum with the smallest number once kept targets that were gone.
+        @JvmStatic
+        fun removals() = listOf(
+            RemovalCase("at once, clock above 0", 1_000_000, null, null, mapOf(0L to false)),
+            RemovalCase("at once, clock below 0", -1_000_000, null, null, mapOf(0L to false)),
+            RemovalCase("at once after a short interruption", 0, 1_200, null, mapOf(0L to false)),
+            RemovalCase("later after an outage", 0, 5_000, null, mapOf(0L to true, 2_000L to true, 2_200L to false)),
+            RemovalCase("not when it returns", 0, 5_000, 1_500, mapOf(0L to true, 2_200L to true, 9_000L to true)),
+        )
+
+        @JvmStatic
+        fun unreadable() = listOf("", "bad", "{}")
+    }
+}
--- /dev/null
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/PlacementManagerSpec.kt
@@ -0,0 +1,169 @@
+package dev.bergamotwind.serving.placement
+
+import dev.bergamotwind.api.AdapterId
+import dev.bergamotwind.api.EventRecorder
+import dev.bergamotwind.api.ModelId
+import dev.bergamotwind.api.TargetId
+import dev.bergamotwind.api.VmId
+import dev.bergamotwind.serving.FakeOrders
+import dev.bergamotwind.serving.ManualLoop
+import dev.bergamotwind.serving.Samples
+import dev.bergamotwind.serving.catalogue.RouteKind
+import dev.bergamotwind.serving.peer.AdapterUse
+import dev.bergamotwind.serving.peer.ModelDemand
+import dev.bergamotwind.serving.targets.TargetBook
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+/** Guards against orders that overfill an engine, whatever is refused, lost, late or still being dropped. */
+class PlacementManagerSpec {
+    /** An engine that carries orders out, loses answers and acts late, and notes when it is overfilled. */
+    private class Engine(private val loop: ManualLoop, private val random: Random, private val lossShare: Double) {
+        val models = HashMap<ModelId, MutableSet<AdapterId>>()
+        private val inUse = HashSet<Pair<ModelId, AdapterId>>()
+        private var accepted = 0L
+        private var busyUntil = 0L
+        var overfilled: String? = null
+        var onChange: () -> Unit = {}
+
+        fun report() = TargetReport(
+            models.mapValues {
+                it.value + leaving(it.key)
+            },
+            loop.nowMillis() < busyUntil,
+            accepted,
+        )
+
+        private fun leaving(model: ModelId) = inUse.filter { it.first == model }.map { it.second }
+
+        fun order(order: TargetOrder, reply: (OrderOutcome) -> Unit) {
+            if (random.nextDouble() >= lossShare) {
+                reply(apply(order))
+                return
+            }
+            // Unanswered orders are carried out later, or never.
+            if (random.nextBoolean()) loop.schedule(random.nextLong(2_000, 12_000)) { apply(order) }
+            loop.schedule(500) { reply(OrderOutcome.UNKNOWN) }
+        }
+
+        private fun apply(order: TargetOrder): OrderOutcome {
+            val adapter = order.adapter
+            return when {
+                order.acceptedOrders != accepted || loop.nowMillis() < busyUntil -> OrderOutcome.CONFLICT
+
+                adapter == null -> applyModel(order)
+
+                order.model !in models -> OrderOutcome.WRONG_TARGET
+
+                order.kind == OrderKind.LOAD -> {
+                    accepted++
+                    models.getValue(order.model) += adapter
+                    check()
+                    OrderOutcome.ACCEPTED
+                }
+
+                else -> {
+                    accepted++
+                    models.getValue(order.model) -= adapter
+                    if (random.nextBoolean()) return OrderOutcome.DONE
+                    inUse += order.model to adapter
+                    loop.schedule(700) { inUse -= order.model to adapter }
+                    OrderOutcome.ACCEPTED
+                }
+            }
+        }
+
+        private fun applyModel(order: TargetOrder): OrderOutcome {
+            accepted++
+            busyUntil = loop.nowMillis() + 600
+            if (order.kind == OrderKind.LOAD) models[order.model] = mutableSetOf()
+            check()
+            loop.schedule(600) {
+                if (order.kind == OrderKind.UNLOAD) models -= order.model
+                onChange()
+            }
+            return OrderOutcome.ACCEPTED
+        }
+
+        private fun check() {
+            val adapters = models.values.sumOf { it.size } + inUse.size
+            if (adapters > ADAPTER_SLOTS) overfilled = "$adapters adapters"
+            if (models.size > 2) overfilled = "${models.size} models"
+        }
+    }
+
+    @Test
+    fun `never overfills an engine that loses answers, acts late and drops adapters slowly`() {
+        for (seed in 1..40) {
+            val loop = ManualLoop()
+            val random = Random(seed)
+            val engine = Engine(loop, random, lossShare = 0.35)
+            val book = TargetBook(loop)
+            fun record() = Samples.record("e1", Samples.engines).copy(
+                models = engine.models.mapValues {
+                    it.value.toSet()
+                },
+            )
+            engine.models[ModelId("m1")] = mutableSetOf()
+            engine.onChange = { book.apply(record()) }
+            book.apply(record())
+            val orders = FakeOrders().apply {
+                onReport = { engine.report() }
+                onOrder = { _, order, reply -> engine.order(order, reply) }
+            }
+            var term: Long? = 5
+            val manager = PlacementManager(loop, book, orders, VmId("vm"), { term }, EventRecorder.None)
+            // Waiting requests want adapters again as soon as they hear of a change, in the midst of a decision.
+            book.onChange = { loop.schedule(0) { manager.wanted(use(random)) } }
+            val configuration = Samples.configuration(Samples.route(RouteKind.STREAMING, Samples.engines))
+            repeat(400) { round ->
+                manager.wanted(use(random))
+                if (round % 90 == 89) term = if (term == null) round.toLong() else null
+                val demand = ModelId("m${random.nextInt(1, 4)}") to ModelDemand(2, 200)
+                manager.tick(configuration, mapOf(demand))
+                loop.advance(200)
+            }
+            assertEquals(null, engine.overfilled) { "seed $seed" }
+            assertTrue(orders.given.size > 15) { "only ${orders.given.size} orders with seed $seed" }
+        }
+    }
+
+    @Test
+    fun `asks an engine that another holder left busy until it is done`() {
+        val loop = ManualLoop()
+        val book = TargetBook(loop)
+        book.apply(Samples.record("e1", Samples.engines, mapOf("m1" to emptySet())))
+        var busy = true
+        val orders = FakeOrders().apply {
+            onReport = {
+                // The model that is being loaded shows only when it is there.
+                val held = listOf("m1", "m2").take(if (busy) 1 else 2).associate {
+                    ModelId(it) to emptySet<AdapterId>()
+                }
+                TargetReport(held, busy, 4)
+            }
+        }
+        val manager = PlacementManager(loop, book, orders, VmId("vm"), { 9 }, EventRecorder.None)
+        val configuration = Samples.configuration(Samples.route(RouteKind.STREAMING, Samples.engines))
+        repeat(20) {
+            manager.tick(configuration, mapOf(ModelId("m3") to ModelDemand(3, 100)))
+            loop.advance(200)
+        }
+        assertEquals(emptyList<TargetOrder>(), orders.given)
+        busy = false
+        repeat(20) {
+            manager.tick(configuration, mapOf(ModelId("m3") to ModelDemand(3, 100)))
+            loop.advance(200)
+        }
+        assertEquals(OrderKind.UNLOAD, orders.given.first().kind)
+    }
+
+    private fun use(random: Random) =
+        AdapterUse(TargetId("e1"), ModelId("m${random.nextInt(1, 3)}"), AdapterId("a${random.nextInt(20)}"))
+
+    private companion object {
+        const val ADAPTER_SLOTS = 8
+    }
+}
--- /dev/null
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/rate/RetryAllowanceSpec.kt
@@ -0,0 +1,36 @@
+package dev.bergamotwind.serving.rate
+
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+
+/** Guards against more retries in a window than the fleet's budget, with any number of VMs. */
+class RetryAllowanceSpec {
+    @ParameterizedTest
+    @ValueSource(ints = [1, 6, 82, 300])
+    fun `all VMs together stay within the budget of each window`(vmCount: Int) {
+        val allowances = List(vmCount) { RetryAllowance(SHARE, FIXED, WINDOW_MILLIS) }
+        val retries = mutableListOf<Long>()
+        val requests = mutableListOf<Long>()
+        for (now in 0L until 60_000L step STEP_MILLIS) {
+            for (allowance in allowances) {
+                allowance.requested()
+                requests += now
+                if (allowance.tryRetry(now, vmCount)) retries += now
+            }
+        }
+        for (start in 0L until 50_000L step STEP_MILLIS) {
+            val window = start until start + WINDOW_MILLIS
+            val permitted = requests.count { it in window } * SHARE + FIXED
+            val made = retries.count { it in window }
+            assertTrue(made <= permitted) { "$made retries from $start ms on, $permitted permitted" }
+        }
+    }
+
+    private companion object {
+        const val SHARE = 0.2
+        const val FIXED = 52.0
+        const val WINDOW_MILLIS = 10_000L
+        const val STEP_MILLIS = 500L
+    }
+}
--- /dev/null
+++ b/bergamotwind-transport/src/test/kotlin/dev/bergamotwind/transport/HttpDialerSpec.kt
@@ -0,0 +1,229 @@
+package dev.bergamotwind.transport
+
+import dev.bergamotwind.api.Header
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+
+/** Guards against answers that look whole and are not, requests that are sent twice, and stale connections. */
+class HttpDialerSpec {
+    private val loop = EventLoop()
+    private val dialer = HttpDialer(loop)
+
+    @AfterEach
+    fun close() = loop.close()
+
+    private class Answer : AnswerListener {
+        val end = CompletableFuture<String>()
+        var status = 0
+        val body = StringBuilder()
+
+        override fun head(status: Int, headers: List<Header>) {
+            this.status = status
+        }
+
+        override fun bytes(bytes: ByteArray) {
+            body.append(bytes.decodeToString())
+        }
+
+        override fun complete() {
+            end.complete("complete")
+        }
+
+        override fun notSent(reason: String) {
+            end.complete("not sent")
+        }
+
+        override fun broken(reason: String) {
+            end.complete("broken")
+        }
+
+        fun await(): String = end.get(5, TimeUnit.SECONDS)
+    }
+
+    data class AnswerCase(val name: String, val expected: String, val act: (RawConnection) -> Unit) {
+        override fun toString() = name
+    }
+
+    @ParameterizedTest
+    @MethodSource("answers")
+    fun `an answer is whole only by its own framing`(case: AnswerCase) {
+        RawServer { connection ->
+            connection.request()
+            case.act(connection)
+        }.use { server -> assertEquals(case.expected, send(server.address).await()) }
+    }
+
+    @Test
+    fun `a connection that nobody listens on counts as not sent`() {
+        val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+        assertEquals("not sent", send(InetSocketAddress(InetAddress.getLoopbackAddress(), port)).await())
+    }
+
+    @Test
+    fun `keeps a connection after a whole answer`() {
+        val server = RawServer { connection ->
+            while (connection.request() != null) connection.send(OK)
+        }
+        server.use {
+            repeat(3) { send(server.address).await() }
+            assertEquals(1, server.accepted.get())
+        }
+    }
+
+    @Test
+    fun `does not reuse a connection beyond its idle time`() {
+        val server = RawServer { connection ->
+            while (connection.request() != null) connection.send(OK)
+        }
+        server.use {
+            send(server.address).await()
+            Thread.sleep(150)
+            send(server.address, reuseIdleMillis = 100).await()
+            assertEquals(2, server.accepted.get())
+        }
+    }
+
+    @Test
+    fun `never sends a request twice when the target closes a kept connection`() {
+        val server = RawServer { connection ->
+            connection.request()
+            connection.send(OK)
+            connection.request()
+            connection.reset()
+        }
+        server.use {
+            assertEquals("complete", send(server.address).await())
+            assertEquals("broken", send(server.address).await())
+            assertEquals(2, server.requests.size)
+        }
+    }
+
+    @Test
+    fun `bytes after a whole answer belong to no request`() {
+        val server = RawServer { connection ->
+            connection.request()
+            connection.send(OK + OK)
+            if (connection.request() != null) connection.send(OK)
+        }
+        server.use {
+            send(server.address).await()
+            Thread.sleep(100)
+            val second = send(server.address)
+            assertEquals("complete", second.await())
+            assertEquals(2, server.accepted.get())
+        }
+    }
+
+    @Test
+    fun `an answer before the end of a long request ends the connection`() {
+        val server = RawServer { connection ->
+            connection.request(withBody = false)
+            connection.send(OK)
+            Thread.sleep(300)
+        }
+        server.use {
+            assertEquals("complete", send(server.address, body = ByteArray(4_000_000)).await())
+            send(server.address, body = ByteArray(10)).await()
+            assertEquals(2, server.accepted.get())
+        }
+    }
+
+    @Test
+    fun `a cancelled request closes its connection and is not heard of again`() {
+        val closed = CompletableFuture<Boolean>()
+        val server = RawServer { connection ->
+            connection.request()
+            closed.complete(connection.isClosedByPeer())
+        }
+        server.use {
+            val answer = Answer()
+            val call = CompletableFuture<OutgoingCall>()
+            loop.execute { call.complete(dialer.send(server.address, request(), answer)) }
+            Thread.sleep(200)
+            loop.execute { call.get().cancel() }
+            assertTrue(closed.get(5, TimeUnit.SECONDS))
+            Thread.sleep(100)
+            assertTrue(!answer.end.isDone)
+        }
+    }
+
+    @Test
+    fun `sends path and headers as they are, and adds none of its own`() {
+        RawServer { connection ->
+            connection.request()
+            connection.send(OK)
+        }.use { server ->
+            send(server.address, path = "/a//b/%2f/../c;x=1?q=%20&r=a+b").await()
+            val lines = server.requests[0].split("\r\n")
+            assertEquals("POST /a//b/%2f/../c;x=1?q=%20&r=a+b HTTP/1.1", lines[0])
+            val names = lines.drop(1).takeWhile { it.isNotEmpty() }.map { it.substringBefore(':').lowercase() }
+            assertEquals(setOf("host", "x-double", "content-length"), names.toSet())
+            assertEquals(2, names.count { it == "x-double" })
+        }
+    }
+
+    private fun request(body: ByteArray = ByteArray(3), path: String = "/a", reuseIdleMillis: Long = 5_000) =
+        OutgoingRequest(
+            "POST",
+            path,
+            listOf(Header("Host", "h"), Header("X-Double", "1"), Header("X-Double", "2")),
+            body,
+            1_000,
+            reuseIdleMillis,
+        )
+
+    private fun send(
+        address: InetSocketAddress,
+        body: ByteArray = ByteArray(3),
+        path: String = "/a",
+        reuseIdleMillis: Long = 5_000,
+    ): Answer {
+        val answer = Answer()
+        loop.execute { dialer.send(address, request(body, path, reuseIdleMillis), answer) }
+        return answer
+    }
+
+    companion object {
+        private const val OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+        private fun case(name: String, expected: String, act: (RawConnection) -> Unit) = AnswerCase(name, expected, act)
+
+        @JvmStatic
+        fun answers() = listOf(
+            case("a length", "complete") { it.send(OK) },
+            case("a length that is not reached", "broken") {
+                it.send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok")
+                it.close()
+            },
+            case("chunks with their end", "complete") {
+                it.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+            },
+            case("chunks without their end", "broken") {
+                it.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n")
+                it.close()
+            },
+            case("no length, closed", "complete") {
+                it.send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok")
+                it.close()
+            },
+            case("no length, reset", "broken") {
+                it.send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok")
+                Thread.sleep(50)
+                it.reset()
+            },
+            case("closed before an answer", "broken") { it.close() },
+            case("reset before an answer", "broken") { it.reset() },
+            case("bytes that are no answer", "broken") { it.send("\u0001\u0002garbage\r\n\r\nmore\r\n") },
+            case("an interim answer first", "complete") { it.send("HTTP/1.1 103 Early Hints\r\n\r\n$OK") },
+        )
+    }
+}
--- /dev/null
+++ b/bergamotwind-transport/src/test/kotlin/dev/bergamotwind/transport/HttpListenerSpec.kt
@@ -0,0 +1,137 @@
+package dev.bergamotwind.transport
+
+import dev.bergamotwind.api.CallerExchange
+import dev.bergamotwind.api.Header
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+
+/** Guards the callers' side: whole requests in order, answers that do not look whole when broken off, callers who leave. */
+class HttpListenerSpec {
+    private val loop = EventLoop()
+    private var handle: (IncomingRequest, CallerExchange) -> Unit = { request, exchange ->
+        exchange.answer(200, listOf(Header("X-Path", request.path)), request.body, false)
+    }
+    private val limits =
+        ListenerLimits(headerBytes = 2_000, bodyBytes = 1_000, headerTimeoutMillis = 300, idleTimeoutMillis = 700)
+    private val listener = HttpListener(loop, { limits }) { request, exchange -> handle(request, exchange) }
+    private val address = InetSocketAddress(
+        InetAddress.getLoopbackAddress(),
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort },
+    ).also(listener::open)
+
+    @AfterEach
+    fun close() {
+        listener.close()
+        loop.close()
+    }
+
+    private fun connect() = Socket(address.address, address.port).apply { soTimeout = 5_000 }
+
+    private fun Socket.send(text: String) = getOutputStream().write(text.toByteArray())
+
+    private fun Socket.readUntil(end: String): String {
+        val text = StringBuilder()
+        while (!text.endsWith(end)) text.append(getInputStream().read().takeIf { it >= 0 }?.toChar() ?: break)
+        return text.toString()
+    }
+
+    private fun Socket.readAll() = getInputStream().readAllBytes().decodeToString()
+
+    @Test
+    fun `answers pipelined requests in their order with their own bodies`() {
+        val exchanges = mutableListOf<Pair<IncomingRequest, CallerExchange>>()
+        handle = { request, exchange ->
+            exchanges += request to exchange
+            loop.schedule(20) { exchange.answer(200, emptyList(), request.body, false) }
+        }
+        connect().use { socket ->
+            socket.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nonePOST /b HTTP/1.1\r\nHost: h\r\n")
+            socket.send("Transfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n0\r\n\r\n")
+            assertTrue(socket.readUntil("one").endsWith("\r\n\r\none"))
+            assertTrue(socket.readUntil("two").endsWith("\r\n\r\ntwo"))
+        }
+    }
+
+    @Test
+    fun `hands on path and query as received`() {
+        connect().use { socket ->
+            socket.send("GET /a//b/%2f/../c;x=1?q=%20&r=a+b HTTP/1.1\r\nHost: h\r\n\r\n")
+            assertTrue("X-Path: /a//b/%2f/../c;x=1?q=%20&r=a+b\r\n" in socket.readUntil("\r\n\r\n"))
+        }
+    }
+
+    @Test
+    fun `an answer that is broken off does not look complete`() {
+        handle = { _, exchange ->
+            exchange.start(200, emptyList(), false)
+            exchange.write("part".toByteArray())
+            loop.schedule(50) { exchange.abort() }
+        }
+        connect().use { socket ->
+            socket.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+            val text = socket.readAll()
+            assertTrue("part" in text && "0\r\n\r\n" !in text) { text }
+        }
+    }
+
+    @Test
+    fun `notices a caller that leaves while its request is handled`() {
+        val gone = CompletableFuture<Unit>()
+        handle = { _, exchange -> exchange.onGone = { gone.complete(Unit) } }
+        connect().use { socket -> socket.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n") }
+        gone.get(2, TimeUnit.SECONDS)
+    }
+
+    @Test
+    fun `tells a caller that reads too slowly, and when it has caught up`() {
+        val writable = CompletableFuture<Unit>()
+        val full = CompletableFuture<Unit>()
+        handle = { _, exchange ->
+            exchange.start(200, emptyList(), false)
+            while (exchange.isWritable) exchange.write(ByteArray(32_768))
+            exchange.onWritable = { writable.complete(Unit) }
+            full.complete(Unit)
+        }
+        connect().use { socket ->
+            socket.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+            full.get(5, TimeUnit.SECONDS)
+            assertTrue(!writable.isDone)
+            while (!writable.isDone) socket.getInputStream().read(ByteArray(65_536))
+        }
+    }
+
+    @Test
+    fun `closes after an answer that says so, and idle connections after their time or when told`() {
+        handle = { _, exchange -> exchange.answer(200, emptyList(), ByteArray(0), true) }
+        connect().use { socket ->
+            socket.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+            assertTrue("connection: close" in socket.readAll().lowercase())
+        }
+        connect().use { socket -> assertEquals("", socket.readAll()) }
+        connect().use { socket ->
+            Thread.sleep(50)
+            loop.execute(listener::closeIdle)
+            assertEquals("", socket.readAll())
+        }
+    }
+
+    @Test
+    fun `refuses bodies beyond the limit and requests that cannot be read`() {
+        connect().use { socket ->
+            socket.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n")
+            assertTrue(socket.readAll().startsWith("HTTP/1.1 413"))
+        }
+        connect().use { socket ->
+            socket.send("no request\r\n\r\n")
+            assertTrue(socket.readAll().startsWith("HTTP/1.1 400"))
+        }
+    }
+}
