Predict by urgency, bound queues by the target latency, avoid bytes between regions

Cause: engines with seconds of prompts in their queue make all requests late and slow their running streams; requests that are read first were predicted as if they were read last. Change: queueing up to two target latencies, urgent requests longer; load by urgency in the beats; 150 ms for a region.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
@@ -4,6 +4,7 @@
 import dev.bergamotwind.serving.catalogue.ServedRoute
 import dev.bergamotwind.serving.catalogue.ServedService
 import dev.bergamotwind.serving.catalogue.ServedTeam
+import dev.bergamotwind.serving.targets.UrgencyClass
 
 /** What has happened to a call so far, and what may still be done with it. */
 internal class CallProgress(private val context: ServingContext) {
@@ -46,8 +47,18 @@
     val mayRunAgain: Boolean
         get() = route?.let { it.isRepeatable && runs < it.attemptLimit } ?: false && maySendAgain
 
-    /** Longest predicted time to the first event for which a target is still asked. */
-    val patienceMillis: Double get() = remainingMillis * PATIENCE_SHARE
+    /**
+     * Longest predicted time to the first event for which a target is still asked. A longer queue would not get more
+     * work out of an engine; it would only make all later requests late as well, and slow the streams that run.
+     */
+    val patienceMillis: Double
+        get() {
+            val bearable = remainingMillis * PATIENCE_SHARE
+            val current = route ?: return bearable
+            // Urgent requests pass the others at an engine, so that their queue slows nobody else.
+            if (Urgency.classOf(current, team) == UrgencyClass.URGENT) return bearable
+            return minOf(bearable, current.targetLatencyMillis * QUEUE_TARGET_SHARE)
+        }
 
     /** The refusal of a call whose first event is expected after [predictedMillis]. */
     fun overload(predictedMillis: Long): Refusal {
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallRun.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallRun.kt
@@ -87,7 +87,8 @@
             ?: return refuse(Refusal(RefusalKind.UNAVAILABLE, "the route has no service", SHORT_RETRY_MILLIS))
         progress.service = service
         val share = context.connectionShare(service.connectionLimit)
-        val need = TargetNeed(service, call.work, progress.excluded, share)
+        val urgency = Urgency.classOf(route, progress.team)
+        val need = TargetNeed(service, call.work, urgency, progress.excluded, share)
         val choice = context.picker.pick(need)
         when {
             choice == null -> withoutTarget(need)
@@ -155,12 +156,12 @@
             call = call,
             remainingMillis = remaining,
             team = progress.team?.id,
-            urgency = work?.let { Urgency.of(route, progress.team) },
+            urgency = work?.let { Urgency.rank(route, progress.team) },
             lastEventId = relay.lastEventId ?: call.lastEventId,
             connectTimeoutMillis = CONNECT_TIMEOUT_MILLIS.coerceAtMost(remaining).toInt().coerceAtLeast(1),
             reuseIdleMillis = if (route.isRepeatable) REUSE_IDLE_MILLIS else REUSE_IDLE_ONCE_MILLIS,
         )
-        val load = context.picker.sent(choice, work)
+        val load = context.picker.sent(choice, work, Urgency.classOf(route, progress.team))
         val attempt = CallAttempt(choice, load, call, progress, relay, exchange, context, this)
         active = attempt
         progress.sends++
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/Defaults.kt
@@ -18,6 +18,9 @@
 /** Part of the remaining time that the prediction may take; the rest is needed for the answer. */
 internal const val PATIENCE_SHARE = 0.8
 
+/** Queueing at a target is accepted up to this many target latencies; a burst may be served a little late. */
+internal const val QUEUE_TARGET_SHARE = 2.0
+
 /** Milliseconds that even a quick answer needs. */
 internal const val LEAST_SERVICE_MILLIS = 60L
 
@@ -34,7 +37,7 @@
 internal const val REUSE_IDLE_MILLIS = 8_000L
 
 /** Longest idle time of a kept connection for requests that run at most once; a stale connection would lose them. */
-internal const val REUSE_IDLE_ONCE_MILLIS = 1_500L
+internal const val REUSE_IDLE_ONCE_MILLIS = 4_000L
 
 /** An attempt is silent after this many times its prediction and the margin in milliseconds. */
 internal const val SILENCE_FACTOR = 2.5
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/Defaults.kt
@@ -85,7 +85,7 @@
 internal const val MUTE_MARGIN_MILLIS = 600.0
 
 /** Milliseconds of delay that are accepted to avoid bytes between regions, which are paid for. */
-internal const val OTHER_REGION_COST_MILLIS = 40.0
+internal const val OTHER_REGION_COST_MILLIS = 150.0
 
 /** Milliseconds of a round trip within a failure domain, within a region and between regions. */
 internal const val SAME_DOMAIN_MILLIS = 2.0
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/LoadShare.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/LoadShare.kt
@@ -4,24 +4,42 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
 
-/** What one VM has under way at one target. */
+/**
+ * What one VM has under way at one target. Prompt reading is in milliseconds that requests without a first event need,
+ * by their urgency: engines read the prompts of more urgent requests first.
+ */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class LoadShare(
     /** Requests that have been sent and not been answered whole. */
     @CborLabel(0)
     val requests: Int = 0,
-    /** Milliseconds of prompt reading that requests without a first event need. */
+    /** Prompt reading for the most urgent requests. */
     @CborLabel(1)
-    val promptMillis: Int = 0,
-    /** Tokens that the requests are expected to occupy at their end. */
+    val urgentMillis: Int = 0,
+    /** Prompt reading for the usual requests. */
     @CborLabel(2)
+    val usualMillis: Int = 0,
+    /** Prompt reading for requests with much time. */
+    @CborLabel(3)
+    val patientMillis: Int = 0,
+    /** Tokens that the requests are expected to occupy at their end. */
+    @CborLabel(4)
     val memoryTokens: Int = 0,
 ) {
     /** Returns the sum. */
     public operator fun plus(other: LoadShare): LoadShare = LoadShare(
         requests + other.requests,
-        promptMillis + other.promptMillis,
+        urgentMillis + other.urgentMillis,
+        usualMillis + other.usualMillis,
+        patientMillis + other.patientMillis,
         memoryTokens + other.memoryTokens,
     )
+
+    /** Prompt reading that comes before that of a new request of [urgency], in milliseconds. */
+    public fun promptMillisAhead(urgency: UrgencyClass): Int = when (urgency) {
+        UrgencyClass.URGENT -> urgentMillis
+        UrgencyClass.USUAL -> urgentMillis + usualMillis
+        UrgencyClass.PATIENT -> urgentMillis + usualMillis + patientMillis
+    }
 }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetNeed.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetNeed.kt
@@ -8,6 +8,7 @@
 internal class TargetNeed(
     val service: ServedService,
     val work: ModelWork?,
+    val urgency: UrgencyClass,
     /** Targets that have failed this request. */
     val excluded: Set<TargetId>,
     /** Connections that this VM may open to one target. */
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetPicker.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetPicker.kt
@@ -40,10 +40,10 @@
     }
 
     /** Notes that a request was sent as chosen; the result is handed to [ended]. */
-    fun sent(choice: TargetChoice, work: ModelWork?): AttemptLoad {
+    fun sent(choice: TargetChoice, work: ModelWork?, urgency: UrgencyClass): AttemptLoad {
         val now = loop.nowMillis()
         work?.let { choice.target.prompts.sent(it, now) }
-        return AttemptLoad(now, choice.predictedMillis, choice.promptMillis, work?.memoryTokens ?: 0)
+        return AttemptLoad(now, choice.predictedMillis, choice.promptMillis, work?.memoryTokens ?: 0, urgency)
             .also { choice.target.attempts += it }
     }
 
@@ -79,7 +79,7 @@
         val needsAdapter = work?.adapter != null && !target.holds(work.model, work.adapter, now)
         val promptMillis = if (work == null) 0.0 else promptMillis(target, work)
         val waiting = if (engine != null && work != null) {
-            engineWait(target, engine, work, now)
+            engineWait(target, engine, need, work)
         } else {
             plainWait(target, need, now)
         }
@@ -97,16 +97,16 @@
         return max(uncached, LEAST_PROMPT_TOKENS) * speed.millisPerToken(work.model)
     }
 
-    private fun engineWait(target: TargetState, engine: EngineProfile, work: ModelWork, now: Long): Double {
+    private fun engineWait(target: TargetState, engine: EngineProfile, need: TargetNeed, work: ModelWork): Double {
         val load = target.peerLoad + target.ownLoad()
-        val running = max(load.requests, target.recentLoad(now)?.let { it.running + it.queued } ?: 0)
+        val running = max(load.requests, target.recentLoad(loop.nowMillis())?.let { it.running + it.queued } ?: 0)
         val memoryExcess = load.memoryTokens + work.memoryTokens - engine.cacheTokens * MEMORY_SHARE_USED
         val slotExcess = running + 1 - engine.slots
         val turnover = max(
             memoryExcess / engine.cacheTokens.coerceAtLeast(1),
             slotExcess.toDouble() / engine.slots.coerceAtLeast(1),
         )
-        return load.promptMillis + max(0.0, turnover) * RUN_MILLIS
+        return load.promptMillisAhead(need.urgency) + max(0.0, turnover) * RUN_MILLIS
     }
 
     private fun plainWait(target: TargetState, need: TargetNeed, now: Long): Double {
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetState.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetState.kt
@@ -70,14 +70,15 @@
     }
 
     /** What this VM has under way here. */
-    internal fun ownLoad(): LoadShare {
-        var promptMillis = 0.0
-        var memoryTokens = 0
-        for (attempt in attempts) {
-            if (attempt.answeredMillis == null) promptMillis += attempt.promptMillis
-            memoryTokens += attempt.memoryTokens
-        }
-        return LoadShare(attempts.size, promptMillis.toInt(), memoryTokens)
+    internal fun ownLoad(): LoadShare = attempts.fold(LoadShare()) { sum, attempt ->
+        val millis = if (attempt.answeredMillis == null) attempt.promptMillis.toInt() else 0
+        sum + LoadShare(
+            requests = 1,
+            urgentMillis = if (attempt.urgency == UrgencyClass.URGENT) millis else 0,
+            usualMillis = if (attempt.urgency == UrgencyClass.USUAL) millis else 0,
+            patientMillis = if (attempt.urgency == UrgencyClass.PATIENT) millis else 0,
+            memoryTokens = attempt.memoryTokens,
+        )
     }
 
     /** Load that the target reported lately, or null. */
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Fakes.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Fakes.kt
@@ -112,7 +112,7 @@
     }
 }
 
-/** A store in memory whose replies come over the loop; [failure] makes calls fail, [losesAnswers] after their effect. */
+/** A store in memory. [failure] makes calls fail; with [losesAnswers] they take effect and are not answered. */
 class FakeStore(private val loop: ManualLoop) : FleetStore {
     private class Watch(val prefix: String, val after: Long, val reply: StoreReply<StoreChanges>)
 
--- a/bergamotwind-transport/src/test/kotlin/dev/bergamotwind/transport/HttpListenerSpec.kt
+++ b/bergamotwind-transport/src/test/kotlin/dev/bergamotwind/transport/HttpListenerSpec.kt
@@ -13,7 +13,7 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 
-/** Guards the callers' side: whole requests in order, answers that do not look whole when broken off, callers who leave. */
+/** Guards the callers' side: whole requests in order, broken answers that do not look whole, callers who leave. */
 class HttpListenerSpec {
     private val loop = EventLoop()
     private var handle: (IncomingRequest, CallerExchange) -> Unit = { request, exchange ->
