--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
@@ -56,7 +56,7 @@
             val bearable = remainingMillis * PATIENCE_SHARE
             val current = route ?: return bearable
             // Urgent requests pass the others at an engine, so that their queue slows nobody else.
-            if (Urgency.classOf(current, team) == UrgencyClass.URGENT) return bearable
+            if (Urgency.classOf(current) == UrgencyClass.URGENT) return bearable
             return minOf(bearable, current.targetLatencyMillis * QUEUE_TARGET_SHARE)
         }
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallRun.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallRun.kt
@@ -87,7 +87,7 @@
             ?: return refuse(Refusal(RefusalKind.UNAVAILABLE, "the route has no service", SHORT_RETRY_MILLIS))
         progress.service = service
         val share = context.connectionShare(service.connectionLimit)
-        val urgency = Urgency.classOf(route, progress.team)
+        val urgency = Urgency.classOf(route)
         val need = TargetNeed(service, call.work, urgency, progress.excluded, share)
         val choice = context.picker.pick(need)
         when {
@@ -161,7 +161,7 @@
             connectTimeoutMillis = CONNECT_TIMEOUT_MILLIS.coerceAtMost(remaining).toInt().coerceAtLeast(1),
             reuseIdleMillis = if (route.isRepeatable) REUSE_IDLE_MILLIS else REUSE_IDLE_ONCE_MILLIS,
         )
-        val load = context.picker.sent(choice, work, Urgency.classOf(route, progress.team))
+        val load = context.picker.sent(choice, work, Urgency.classOf(route))
         val attempt = CallAttempt(choice, load, call, progress, relay, exchange, context, this)
         active = attempt
         progress.sends++
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/Urgency.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/Urgency.kt
@@ -6,20 +6,21 @@
 
 /** Rank of a request among those of an engine. */
 internal object Urgency {
-    private const val MOST_URGENT_RANK = 2
+    private const val TEAM_STEP = 2
     private const val LEAST_URGENT_RANK = 9
 
-    /** Requests with much time give way to those with little; within these the configured priority decides. */
+    /** The team's priority goes before the route's; requests with much time give way to those with little. */
     fun rank(route: ServedRoute, team: ServedTeam?): Int {
-        val rank = MOST_URGENT_RANK + (team?.priority ?: route.priority)
+        val ofRoute = route.priority.coerceIn(0, TEAM_STEP - 1)
+        val rank = (team?.priority ?: route.priority) * TEAM_STEP + ofRoute
         val patient = if (isPatient(route)) PATIENT_RANKS else 0
         return (rank + patient).coerceIn(0, LEAST_URGENT_RANK)
     }
 
     /** The class in which VMs tell each other what waits at an engine. */
-    fun classOf(route: ServedRoute, team: ServedTeam?): UrgencyClass = when {
+    fun classOf(route: ServedRoute): UrgencyClass = when {
         isPatient(route) -> UrgencyClass.PATIENT
-        rank(route, team) <= MOST_URGENT_RANK -> UrgencyClass.URGENT
+        route.priority == 0 -> UrgencyClass.URGENT
         else -> UrgencyClass.USUAL
     }
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/Defaults.kt
@@ -15,9 +15,12 @@
 /** Least gain of a swap in milliseconds of work a second; an engine's disturbance is worth more than less. */
 internal const val LEAST_GAIN = 25.0
 
-/** Loss of the last copy of a quiet model, in milliseconds of work a second. */
+/** Loss of the last copy of a quiet model whose weights stay at hand, in milliseconds of work a second. */
 internal const val LAST_COPY_LOSS = 8.0
 
+/** Loss of the last copy of a quiet model that must come from the weight store again. */
+internal const val LAST_WEIGHTS_LOSS = 80.0
+
 /** Loss of a copy that others can stand in for, in milliseconds of work a second. */
 internal const val SPARE_COPY_LOSS = 2.0
 
@@ -27,8 +30,8 @@
 /** Loss for each request under way at an engine that drops a model, in milliseconds of work a second. */
 internal const val REQUEST_DISTURBANCE = 0.5
 
-/** Loss for each millisecond of a load, in milliseconds of work a second. */
-internal const val LOAD_MILLIS_LOSS = 0.02
+/** Seconds for which a swap is expected to last; demand moves on after some ten. */
+internal const val HORIZON_SECONDS = 10.0
 
 /** Seconds of the weight store's rate that may be used at once; the platform tolerates five. */
 internal const val STORE_BURST_SECONDS = 1.5
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/EngineSeat.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/EngineSeat.kt
@@ -73,7 +73,7 @@
             models = models.keys.toSet(),
             coming = swap?.load ?: step?.takeIf { it.kind == OrderKind.LOAD }?.model,
             isReachable = isReachable,
-            isFree = isIdle && isReachable,
+            freeInMillis = if (isReachable) freeInMillis(isIdle, nowMillis) else null,
             freeMegabytes = freeMegabytes(profile),
             occupiedMegabytes = models.keys.associateWith { occupiedMegabytes(it, profile) },
             modelsInMemory = record.modelsInMemory,
@@ -83,6 +83,16 @@
         )
     }
 
+    private fun freeInMillis(isIdle: Boolean, nowMillis: Long): Long? {
+        val remaining = step?.let { (it.expectedMillis - nowMillis).coerceAtLeast(LEAST_STEP_MILLIS) } ?: 0
+        val next = swap?.takeIf { step?.kind != OrderKind.LOAD }?.loadMillis ?: 0
+        return when {
+            isIdle -> 0
+            step == null && swap == null -> null
+            else -> (remaining + next).coerceAtLeast(LEAST_STEP_MILLIS)
+        }
+    }
+
     private fun occupiedMegabytes(model: ModelId, profile: EngineProfile): Double {
         val known = profile.models[model] ?: return profile.weightsMegabytes
         val adapters = (models[model]?.size ?: 0) + leavingAdapters.count { (of, _) -> of == model }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/EngineView.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/EngineView.kt
@@ -12,8 +12,8 @@
     val coming: ModelId?,
     /** False when requests cannot reach the engine, so that what it holds serves nobody. */
     val isReachable: Boolean,
-    /** True when the engine can be given an order about a model. */
-    val isFree: Boolean,
+    /** Milliseconds until the engine can be given an order about a model, or null when it cannot be known. */
+    val freeInMillis: Long?,
     /** Megabytes that neither models nor adapters occupy. */
     val freeMegabytes: Double,
     /** Megabytes of each held model together with its adapters. */
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/Swap.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/Swap.kt
@@ -10,4 +10,6 @@
     val drop: List<ModelId>,
     val loadMillis: Long,
     val fromStore: Boolean,
+    /** Milliseconds until the engine is free for it. */
+    val waitMillis: Long = 0,
 )
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SwapPlanner.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SwapPlanner.kt
@@ -18,19 +18,23 @@
         engines.filter { it.isReachable }.forEach { engine ->
             (engine.models + setOfNotNull(engine.coming)).forEach { copies.merge(it, 1, Int::plus) }
         }
-        val free = engines.filter { it.isFree }.toMutableList()
+        val usable = engines.filter { it.freeInMillis != null }.toMutableList()
         val settled = HashSet<ModelId>()
         var storeLoadsLeft = storeLoads
         val swaps = mutableListOf<Swap>()
         var model = neediest(demand, copies, settled)
-        while (model != null && free.isNotEmpty()) {
-            val swap = bestSwap(free, model, demand, copies, storeLoadsLeft)
+        while (model != null && usable.any { it.freeInMillis == 0L }) {
+            val swap = bestSwap(usable, model, demand, copies, storeLoadsLeft)
             if (swap == null) {
                 settled += model.id
+            } else if (swap.waitMillis > 0) {
+                // A copy at hand at a busy engine is there sooner than a load from the weight store elsewhere.
+                settled += model.id
+                usable.removeIf { it.target == swap.target }
             } else {
                 if (swap.fromStore) storeLoadsLeft--
                 swaps += swap
-                free.removeIf { it.target == swap.target }
+                usable.removeIf { it.target == swap.target }
                 copies.merge(model.id, 1, Int::plus)
                 swap.drop.forEach { copies.merge(it, -1, Int::plus) }
             }
@@ -40,16 +44,16 @@
     }
 
     private fun bestSwap(
-        free: List<EngineView>,
+        usable: List<EngineView>,
         model: ServedModel,
         demand: Map<ModelId, ModelDemand>,
         copies: Map<ModelId, Int>,
         storeLoads: Int,
     ): Swap? {
         val gain = gain(demand[model.id], copies[model.id] ?: 0)
-        return free.mapNotNull { candidate(it, model, demand, copies) }
+        return usable.mapNotNull { candidate(it, model, demand, copies) }
             .filter { gain > it.loss * SWAP_ADVANTAGE && (!it.swap.fromStore || storeLoads > 0) }
-            .minByOrNull { it.cost }?.swap
+            .minByOrNull { it.cost + gain * (it.swap.waitMillis + it.swap.loadMillis) / MILLIS_PER_SECOND }?.swap
     }
 
     private fun neediest(
@@ -73,10 +77,16 @@
 
     private fun gain(demand: ModelDemand?, copies: Int): Double = undone(demand, copies) - undone(demand, copies + 1)
 
-    private fun loss(demand: ModelDemand?, copies: Int): Double {
+    private fun loss(model: ModelId, engine: EngineView, demand: ModelDemand?, copies: Int): Double {
         val lost = undone(demand, copies - 1) - undone(demand, copies)
-        // Dropping the last copy of a quiet model makes its next request wait for a load.
-        return if (copies <= 1) lost + LAST_COPY_LOSS else lost + SPARE_COPY_LOSS
+        return lost + when {
+            copies > 1 -> SPARE_COPY_LOSS
+
+            // The next request of a quiet model waits for a load, a short one if the weights stay at hand.
+            model in engine.modelsInMemory || model in engine.modelsOnDisk -> LAST_COPY_LOSS
+
+            else -> LAST_WEIGHTS_LOSS
+        }
     }
 
     private fun candidate(
@@ -88,7 +98,7 @@
         if (model.id in engine.models) return null
         val victims = engine.models
             .filter { it !in engine.recent || (demand[it]?.workPerSecond ?: 0) < LEAST_WORK }
-            .map { it to loss(demand[it], copies[it] ?: 1) }
+            .map { it to loss(it, engine, demand[it], copies[it] ?: 1) }
             .sortedBy { (_, loss) -> loss }
         var free = engine.freeMegabytes
         val dropped = victims.takeWhile { (victim, _) ->
@@ -98,7 +108,7 @@
         val loss = dropped.sumOf { (_, loss) -> loss }
         val swap = swap(engine, model, dropped.map { (victim, _) -> victim })
         val disturbance = if (dropped.isEmpty()) 0.0 else engine.requests * REQUEST_DISTURBANCE
-        return Candidate(swap, loss, loss + disturbance + swap.loadMillis * LOAD_MILLIS_LOSS)
+        return Candidate(swap, loss, (loss + disturbance) * HORIZON_SECONDS)
     }
 
     private fun swap(engine: EngineView, model: ServedModel, drop: List<ModelId>): Swap {
@@ -107,8 +117,13 @@
             in engine.modelsOnDisk -> model.diskLoadMillis to false
             else -> model.storeLoadMillis to true
         }
-        return Swap(engine.target, model.id, drop, loadMillis, fromStore)
+        return Swap(engine.target, model.id, drop, loadMillis, fromStore, engine.freeInMillis ?: 0)
     }
 
+    /** [loss] is in milliseconds of work a second, [cost] in milliseconds of work. */
     private class Candidate(val swap: Swap, val loss: Double, val cost: Double)
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
+    }
 }
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/SwapPlannerSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/SwapPlannerSpec.kt
@@ -33,7 +33,7 @@
         private fun engine(
             name: String,
             vararg models: String,
-            isFree: Boolean = true,
+            freeInMillis: Long? = 0,
             isReachable: Boolean = true,
             onDisk: Set<String> = emptySet(),
             recent: Set<String> = emptySet(),
@@ -42,7 +42,7 @@
             models = models.map(::ModelId).toSet(),
             coming = null,
             isReachable = isReachable,
-            isFree = isFree && isReachable,
+            freeInMillis = if (isReachable) freeInMillis else null,
             freeMegabytes = 150_000.0 - 70_000.0 * models.size,
             occupiedMegabytes = models.associate { ModelId(it) to 70_000.0 },
             modelsInMemory = emptySet(),
@@ -78,7 +78,10 @@
             ),
             Case(
                 "a second copy of a hot model before a rare one when one engine is free",
-                listOf(engine("e1", "m1", "m2", isFree = false), engine("e2", "m3", "m4", onDisk = setOf("m1", "m5"))),
+                listOf(
+                    engine("e1", "m1", "m2", freeInMillis = 30_000),
+                    engine("e2", "m3", "m4", onDisk = setOf("m1", "m5")),
+                ),
                 mapOf("m1" to ModelDemand(0, 1_500), "m5" to ModelDemand(1, 5)),
                 setOf("e2: -m3 +m1"),
             ),
@@ -95,6 +98,24 @@
                 emptySet(),
                 storeLoads = 0,
             ),
+            Case(
+                "a busy engine that has a copy on its disk before a load from the weight store",
+                listOf(engine("e1", "m1", onDisk = setOf("m2"), freeInMillis = 1_500), engine("e2", "m3")),
+                mapOf("m2" to asked),
+                emptySet(),
+            ),
+            Case(
+                "the weight store when the engine with a copy is busy for longer",
+                listOf(engine("e1", "m1", onDisk = setOf("m2"), freeInMillis = 9_000), engine("e2", "m3")),
+                mapOf("m2" to asked),
+                setOf("e2: - +m2"),
+            ),
+            Case(
+                "a last copy stays that only the weight store could bring back",
+                listOf(engine("e1", "m1", "m2", onDisk = setOf("m1"))),
+                mapOf("m3" to ModelDemand(0, 40)),
+                setOf("e1: -m1 +m3"),
+            ),
             Case(
                 "a copy at hand needs no rate",
                 listOf(engine("e1", "m1", onDisk = setOf("m2"))),
