--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/entry/EntryProcess.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/entry/EntryProcess.kt
@@ -1,5 +1,6 @@
 package dev.bergamotwind.node.entry
 
+import dev.bergamotwind.api.Header
 import dev.bergamotwind.core.event
 import dev.bergamotwind.fleetplatform.CallCodec
 import dev.bergamotwind.fleetplatform.PlatformDecoder
@@ -24,6 +25,7 @@
 /** The process of an entry VM on the users' platform, from its start to its end. */
 internal class EntryProcess private constructor(private val path: Path, private val settings: PlatformSettings) {
     private val log = EventLog()
+    private val recorder = MetricsRecorder(log)
     private val loop = EventLoop()
     private val servingLoop = NettyServingLoop(loop)
     private val dialer = HttpDialer(loop)
@@ -33,6 +35,9 @@
     private val readiness = HttpListener(loop, { ListenerLimits() }) { _, exchange ->
         exchange.answer(if (vm.isReady) READY else NOT_READY, emptyList(), ByteArray(0), false)
     }
+    private val metrics = HttpListener(loop, { ListenerLimits() }) { _, exchange ->
+        exchange.answer(READY, listOf(Header("Content-Type", "text/plain")), recorder.text().toByteArray(), false)
+    }
     private val peerPort = DatagramPort(loop) { sender, bytes -> vm.received(sender, bytes) }
     private val vm: ServingVm = ServingVm(settings.serving, ports())
 
@@ -40,6 +45,7 @@
         handleSignals()
         peerPort.open(InetSocketAddress(settings.serving.host, settings.serving.peerPort))
         readiness.open(settings.readiness)
+        metrics.open(settings.metrics)
         loop.execute { vm.start() }
         callers.open(settings.callers)
     }
@@ -54,11 +60,11 @@
         peers = PeerTransport { address, bytes -> peerPort.send(address, bytes) },
         refusalHeaders = CallCodec,
         callers = { callers.closeIdle() },
-        recorder = log,
+        recorder = recorder,
     )
 
     private fun unreadable(source: String, fault: String) {
-        log.event("answer.unreadable") {
+        recorder.event("answer.unreadable") {
             field("source", source)
             field("fault", fault)
         }
@@ -76,9 +82,9 @@
     // Addresses hold for the life of a process; the platform restarts it when they change.
     private fun reload() {
         PlatformSettings.read(path).fold(
-            { fault -> log.event("settings.unreadable") { field("fault", fault) } },
+            { fault -> recorder.event("settings.unreadable") { field("fault", fault) } },
             { read ->
-                log.event("settings.reloaded") {
+                recorder.event("settings.reloaded") {
                     field("same_addresses", read.callers == settings.callers && read.readiness == settings.readiness)
                 }
             },
--- /dev/null
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/entry/MetricsRecorder.kt
@@ -0,0 +1,40 @@
+package dev.bergamotwind.node.entry
+
+import dev.bergamotwind.api.EventField
+import dev.bergamotwind.api.EventKind
+import dev.bergamotwind.api.EventRecorder
+import dev.bergamotwind.api.RequestId
+import io.micrometer.core.instrument.Timer
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import java.time.Duration
+
+/** Counts events by kind and outcome and measures how long requests take, and passes the events on. */
+internal class MetricsRecorder(private val delegate: EventRecorder) : EventRecorder {
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+
+    override fun record(kind: EventKind, request: RequestId?, fields: List<EventField>) {
+        delegate.record(kind, request, fields)
+        val outcome = fields.value("outcome") ?: "none"
+        registry.counter("bergamotwind.events", "kind", kind.value, "outcome", outcome).increment()
+        if (kind == REQUEST_ENDED) fields.value("millis")?.toLongOrNull()?.let { duration(outcome, it) }
+    }
+
+    /** Returns all metrics as text. */
+    fun text(): String = registry.scrape()
+
+    private fun duration(outcome: String, millis: Long): Unit = Timer.builder("bergamotwind.request.duration")
+        .tag("outcome", outcome)
+        .serviceLevelObjectives(*BOUNDS_MILLIS.map { Duration.ofMillis(it) }.toTypedArray())
+        .register(registry)
+        .record(Duration.ofMillis(millis))
+
+    private fun List<EventField>.value(key: String) = firstOrNull { it.key == key }?.value
+
+    private companion object {
+        val REQUEST_ENDED = EventKind("request.ended")
+
+        /** Bounds of the histogram in milliseconds, around the target latencies of the routes. */
+        val BOUNDS_MILLIS = listOf(50L, 100, 200, 500, 1_000, 2_000, 5_000, 10_000, 20_000)
+    }
+}
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/SwapPlannerSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/SwapPlannerSpec.kt
@@ -56,7 +56,9 @@
         private val asked = ModelDemand(2, 20)
 
         @JvmStatic
-        fun cases() = listOf(
+        fun cases() = demandCases() + storeCases()
+
+        private fun demandCases() = listOf(
             Case("no demand", listOf(engine("e1", "m1", "m2")), emptyMap(), emptySet()),
             Case(
                 "free memory for a model that is asked for",
@@ -85,6 +87,9 @@
                 mapOf("m1" to ModelDemand(0, 1_500), "m5" to ModelDemand(1, 5)),
                 setOf("e2: -m3 +m1"),
             ),
+        )
+
+        private fun storeCases() = listOf(
             Case(
                 "a model whose only engine cannot be reached",
                 listOf(engine("e1", "m1", isReachable = false), engine("e2", "m2")),
