Keep the only target of a silent request, and wait for a model after a failed attempt

Change: silence ends an attempt only where another target can take it; a repeatable request whose attempt failed waits for its model like one that was never sent. Conclusion: a test causes the silence of one target and of one of two; it fails without the change.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
@@ -4,6 +4,8 @@
 import dev.bergamotwind.serving.catalogue.ServedRoute
 import dev.bergamotwind.serving.catalogue.ServedService
 import dev.bergamotwind.serving.catalogue.ServedTeam
+import dev.bergamotwind.serving.targets.TargetNeed
+import dev.bergamotwind.serving.targets.TargetState
 import dev.bergamotwind.serving.targets.UrgencyClass
 
 /** What has happened to a call so far, and what may still be done with it. */
@@ -47,6 +49,21 @@
     val mayRunAgain: Boolean
         get() = route?.let { it.isRepeatable && runs < it.attemptLimit } ?: false && maySendAgain
 
+    /** True when the request may run more than once. */
+    val isRepeatable: Boolean get() = route?.isRepeatable ?: false
+
+    /** What a target is chosen for. */
+    fun need(service: ServedService, work: ModelWork?, excluded: Set<TargetId>): TargetNeed {
+        val urgency = route?.let(Urgency::classOf) ?: UrgencyClass.USUAL
+        return TargetNeed(service, work, urgency, excluded, context.connectionShare(service.connectionLimit))
+    }
+
+    /** True when another target than [target] could take [call]; the only one is not given up for its silence. */
+    fun hasOtherTarget(call: Call, target: TargetState): Boolean {
+        val current = service ?: return false
+        return context.picker.pick(need(current, call.work, excluded + target.record.id)) != null
+    }
+
     /**
      * Longest predicted time to the first event for which a target is still asked. A longer queue would not get more
      * work out of an engine; it would only make all later requests late as well, and slow the streams that run.
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallRun.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallRun.kt
@@ -86,9 +86,7 @@
         val service = route.service(progress.serviceDraw)?.let { configuration?.services?.get(it) }
             ?: return refuse(Refusal(RefusalKind.UNAVAILABLE, "the route has no service", SHORT_RETRY_MILLIS))
         progress.service = service
-        val share = context.connectionShare(service.connectionLimit)
-        val urgency = Urgency.classOf(route)
-        val need = TargetNeed(service, call.work, urgency, progress.excluded, share)
+        val need = progress.need(service, call.work, progress.excluded)
         val choice = context.picker.pick(need)
         when {
             choice == null -> withoutTarget(need)
@@ -107,7 +105,7 @@
         val work = call.work
         val remaining = progress.remainingMillis
         val expected = work?.let(context::expectedMillis) ?: EXPECTED_LOAD_MILLIS
-        val mayWait = work != null && need.service.engine != null && !progress.mayHaveRun
+        val mayWait = work != null && need.service.engine != null && (!progress.mayHaveRun || progress.isRepeatable)
         when {
             work == null || !mayWait || context.picker.isHeld(need, work.model) ->
                 refuse(Refusal(RefusalKind.OVERLOADED, "no target takes the request", SHORT_RETRY_MILLIS))
@@ -176,7 +174,7 @@
 
     /** Gives up an attempt that stays silent for far longer than predicted, where the request may run again. */
     private fun silent(attempt: CallAttempt) {
-        if (!isActive(attempt) || !progress.mayRunAgain) return
+        if (!isActive(attempt) || !progress.mayRunAgain || !progress.hasOtherTarget(call, attempt.target)) return
         attempt.cancel()
         attempt.target.health.unreachable(loop.nowMillis())
         failed(attempt, "no byte for ${loop.nowMillis() - attempt.lastByteMillis} ms")
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/ServingVmSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/ServingVmSpec.kt
@@ -150,6 +150,20 @@
         assertFalse(exchange.isComplete)
     }
 
+    @Test
+    fun `the only target is not given up for its silence, another one is asked where there is one`() {
+        for (names in listOf(listOf("t1"), listOf("t1", "t2"))) {
+            val route = Samples.route(RouteKind.IDEMPOTENT)
+            val world = World(Samples.configuration(route), names.map { Samples.record(it) })
+            val exchange = world.serve()
+            world.loop.advance(2_000)
+            assertEquals(names.size, world.targets.sent.size)
+            assertEquals(names.size > 1, world.targets.sent[0].isCancelled)
+            world.targets.sent.last().answer(200)
+            assertEquals(200, exchange.status)
+        }
+    }
+
     @Test
     fun `the target stops work when the caller has left`() {
         val world = World(Samples.configuration(Samples.route(RouteKind.IDEMPOTENT)), listOf(Samples.record("t1")))
