--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/Defaults.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/Defaults.kt
@@ -34,7 +34,7 @@
 /** Tokens that an answer may have when the caller names no maximum. */
 internal const val DEFAULT_MAXIMUM_TOKENS: Int = 256
 
-/** Tokens charged for a call of a plain service, which reports no token count. */
+/** Tokens that count for a call of a plain service, which reports no token count. */
 internal const val SERVICE_CALL_TOKENS: Long = 1
 
 /** Attempts at different targets for one idempotent request, the first included. */
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/catalogue/EngineProfile.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/catalogue/EngineProfile.kt
@@ -10,7 +10,8 @@
     val cacheTokens: Long,
     /** Megabytes for weights and adapters together. */
     val weightsMegabytes: Double,
-    val adapterSlots: Int,
+    /** Adapters that an engine holds at once, over all its models. */
+    val adapterCapacity: Int,
     /** Loads from the weight store that may begin each second, over all targets of the service. */
     val storeLoadsPerSecond: Double,
     val models: Map<ModelId, ServedModel>,
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementTerm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementTerm.kt
@@ -44,7 +44,7 @@
         }
 
     /** True when this VM holds the term, also while it must not give orders yet. */
-    public val isHolder: Boolean get() = holderLease != null && holderLease == lease.id
+    private val isHolder: Boolean get() = holderLease != null && holderLease == lease.id
 
     /** The holder item has been read. */
     public fun written(item: StoreItem) {
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SeatOrders.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SeatOrders.kt
@@ -132,7 +132,7 @@
                 listener.changed(seat)
             }
 
-            seat.adapterCount < profile.adapterSlots && seat.freeMegabytes(profile) >= size ->
+            seat.adapterCount < profile.adapterCapacity && seat.freeMegabytes(profile) >= size ->
                 order(OrderKind.LOAD, model, adapter)
 
             seat.leavingAdapters.isNotEmpty() -> checkDroppedAdapters()
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/PromptMemory.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/PromptMemory.kt
@@ -4,8 +4,8 @@
 
 /** The prompt parts that were sent to one target lately, as far as its engine may still keep them. */
 internal class PromptMemory {
-    private val seen = object : LinkedHashMap<Long, Long>(INITIAL_SIZE, LOAD_FACTOR, true) {
-        override fun removeEldestEntry(eldest: Map.Entry<Long, Long>): Boolean = size > PROMPT_PARTS_REMEMBERED
+    private val seen = object : LinkedHashMap<Long, Unit>(INITIAL_SIZE, LOAD_FACTOR, true) {
+        override fun removeEldestEntry(eldest: Map.Entry<Long, Unit>): Boolean = size > PROMPT_PARTS_REMEMBERED
     }
 
     /** Tokens of the leading parts of [work] that the engine is expected to keep. */
@@ -18,12 +18,10 @@
         return tokens.coerceAtMost(work.promptTokens)
     }
 
-    fun sent(work: ModelWork, nowMillis: Long) {
-        work.parts.forEach { seen[key(work, it.id)] = nowMillis }
+    fun sent(work: ModelWork) {
+        work.parts.forEach { seen[key(work, it.id)] = Unit }
     }
 
-    fun clear(): Unit = seen.clear()
-
     private fun key(work: ModelWork, part: Long): Long =
         part * MULTIPLIER + work.model.value.hashCode() + (work.adapter?.value?.hashCode() ?: 0).toLong() * MULTIPLIER
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetPicker.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetPicker.kt
@@ -42,7 +42,7 @@
     /** Notes that a request was sent as chosen; the result is handed to [ended]. */
     fun sent(choice: TargetChoice, work: ModelWork?, urgency: UrgencyClass): AttemptLoad {
         val now = loop.nowMillis()
-        work?.let { choice.target.prompts.sent(it, now) }
+        work?.let { choice.target.prompts.sent(it) }
         return AttemptLoad(now, choice.predictedMillis, choice.promptMillis, work?.memoryTokens ?: 0, urgency)
             .also { choice.target.attempts += it }
     }
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Samples.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Samples.kt
@@ -40,11 +40,11 @@
         memoryLoadMillis = 1_200,
     )
 
-    fun profile(vararg names: String, adapterSlots: Int = 8) = EngineProfile(
+    fun profile(vararg names: String, adapterCapacity: Int = 8) = EngineProfile(
         slots = 64,
         cacheTokens = 130_000,
         weightsMegabytes = 150_000.0,
-        adapterSlots = adapterSlots,
+        adapterCapacity = adapterCapacity,
         storeLoadsPerSecond = 1.0,
         models = names.map { model(it) }.associateBy { it.id },
     )
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/ClientConnection.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/ClientConnection.kt
@@ -29,13 +29,8 @@
     private var idleSinceNanos = 0L
     private var statedIdleMillis: Long? = null
 
-    /** True once the connection belongs to the event loop, which then reports its end. */
-    var wasRegistered = false
-        private set
-
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
-        wasRegistered = true
         context.channel().closeFuture().addListener { dialer.closed(this) }
     }
 
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/HttpDialer.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/HttpDialer.kt
@@ -16,14 +16,6 @@
  */
 public class HttpDialer(private val loop: EventLoop) {
     private val kept = HashMap<InetSocketAddress, ArrayDeque<ClientConnection>>()
-    private val openByAddress = HashMap<InetSocketAddress, Int>()
-
-    /** Connections opened so far. */
-    public var opened: Long = 0
-        private set
-
-    /** Connections to [address] that are open or being opened. */
-    public fun connections(address: InetSocketAddress): Int = openByAddress[address] ?: 0
 
     /** Sends [request] to [address]; [listener] hears what becomes of it, never before this returns. */
     public fun send(address: InetSocketAddress, request: OutgoingRequest, listener: AnswerListener): OutgoingCall {
@@ -33,17 +25,11 @@
         return call
     }
 
-    /** Closes the kept connections to [address], for example of a target that is gone. */
-    public fun forget(address: InetSocketAddress) {
-        kept.remove(address)?.forEach(ClientConnection::close)
-    }
-
     internal fun keep(connection: ClientConnection) {
         kept.getOrPut(connection.address) { ArrayDeque() }.addLast(connection)
     }
 
     internal fun closed(connection: ClientConnection) {
-        openByAddress.computeIfPresent(connection.address) { _, open -> (open - 1).takeIf { it > 0 } }
         val idle = kept[connection.address] ?: return
         idle.remove(connection)
         if (idle.isEmpty()) kept.remove(connection.address)
@@ -61,8 +47,6 @@
     }
 
     private fun connect(address: InetSocketAddress, call: ClientCall) {
-        opened++
-        openByAddress.merge(address, 1, Int::plus)
         val connection = ClientConnection(address, this)
         val initializer = object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) = prepare(channel, connection)
@@ -79,7 +63,6 @@
             if (result.isSuccess) {
                 connection.start(call)
             } else {
-                if (!connection.wasRegistered) closed(connection)
                 call.notSent("connecting failed: ${result.cause()?.message}")
             }
         }
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/HttpListener.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/HttpListener.kt
@@ -21,9 +21,6 @@
     private var listening: Channel? = null
     private var sweeping: (() -> Unit)? = null
 
-    /** Connections that are open. */
-    public val openConnections: Int get() = connections.size
-
     /** Opens the listener; throws [java.io.IOException] when the address is taken. */
     public fun open(address: InetSocketAddress) {
         val initializer = object : ChannelInitializer<SocketChannel>() {
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/ServerExchange.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/ServerExchange.kt
@@ -19,7 +19,7 @@
 /** Writes the answer to one request of a [ServerConnection]. */
 internal class ServerExchange(
     private val context: ChannelHandlerContext,
-    private val keepAlive: Boolean,
+    keepAlive: Boolean,
     private val onAnswered: (ServerExchange, Boolean) -> Unit,
 ) : CallerExchange {
     override var onGone: (() -> Unit)? = null
