--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/SwapPlannerSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/SwapPlannerSpec.kt
@@ -5,6 +5,8 @@
 import dev.bergamotwind.serving.Samples
 import dev.bergamotwind.serving.peer.ModelDemand
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Tag
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
 
@@ -29,6 +31,22 @@
         assertEquals(case.expected, lines.toSet())
     }
 
+    @Test
+    @Tag("known-red")
+    fun `a rare model that requests wait for is loaded although a hot one wants more copies`() {
+        val planner = SwapPlanner(Samples.profile("m1", "m2", "m3", "m4", "m5", "m6"))
+        val engines = listOf(
+            engine("e1", "m1", "m2", onDisk = setOf("m1", "m2")),
+            engine("e2", "m1", "m3", freeInMillis = null),
+        )
+        val demand = mapOf(
+            ModelId("m1") to ModelDemand(0, 2_500),
+            ModelId("m2") to ModelDemand(0, 60),
+            ModelId("m4") to ModelDemand(1, 10),
+        )
+        assertEquals(listOf(ModelId("m4")), planner.plan(engines, demand, 2).map { it.load })
+    }
+
     companion object {
         private fun engine(
             name: String,
