Remove a constant that nothing used, and record a fault found by reading the change

A stream that has begun and whose resumption is answered by a failure gets a second answer on the same connection instead of being broken off. The test shows it ('two answers') and is tagged known-red; behaviour is unchanged here.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/Defaults.kt
@@ -1,8 +1,5 @@
 package dev.bergamotwind.serving
 
-/** Beginning of this system's own keys in the platform's store. */
-internal const val OWN_PREFIX = "bergamotwind/"
-
 /** Beginning of the keys under which VMs register. */
 internal const val MEMBER_PREFIX = "bergamotwind/vm/"
 
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/ServingVmSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/ServingVmSpec.kt
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
@@ -138,6 +139,20 @@
         assertTrue(exchange.isComplete)
     }
 
+    @Test
+    @Tag("known-red")
+    fun `a stream whose resumption is answered by a failure is broken off`() {
+        val route = Samples.route(RouteKind.STREAMING, isResumable = true)
+        val world = World(Samples.configuration(route), listOf(Samples.record("t1"), Samples.record("t2")))
+        val exchange = world.serve()
+        world.targets.sent[0].head(200)
+        world.targets.sent[0].event(1)
+        world.targets.sent[0].listener.broken("reset")
+        world.targets.sent[1].answer(404)
+        assertTrue(exchange.isAborted)
+        assertFalse(exchange.isComplete)
+    }
+
     @Test
     fun `a stream that cannot be resumed is broken off, never ended as complete`() {
         val route = Samples.route(RouteKind.STREAMING)
