Learn the prompt speed of a model from its first requests

Change: the first observations weigh a half, a third and so on, only requests whose prediction is mostly reading count, and the waiting part is subtracted.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/Defaults.kt
@@ -35,6 +35,13 @@
 internal const val SMALLEST_RATIO = 0.25
 internal const val LARGEST_RATIO = 8.0
 
+/** Bounds of an observed reading time of a prompt in relation to its prediction, for the same reason. */
+internal const val SMALLEST_PROMPT_RATIO = 0.1
+internal const val LARGEST_PROMPT_RATIO = 3.0
+
+/** Least part of a prediction that must be the reading of the prompt for the observation to tell the model's speed. */
+internal const val LEAST_PROMPT_SHARE = 0.4
+
 /** Weight of one observation in the slowness of a target. */
 internal const val SLOWNESS_WEIGHT = 0.1
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/PromptSpeed.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/PromptSpeed.kt
@@ -6,13 +6,15 @@
 
 /** Learns how long engines take to read prompts, by model, and how long plain services work on a request. */
 internal class PromptSpeed {
-    private val millisPerToken = HashMap<ModelId, Double>()
+    private class Learned(var millisPerToken: Double, var observations: Int)
+
+    private val learned = HashMap<ModelId, Learned>()
     private val serviceMillis = HashMap<ServiceId, Double>()
 
     /** Learned milliseconds for a token of a prompt, by model. */
-    val byModel: Map<ModelId, Double> get() = millisPerToken
+    val byModel: Map<ModelId, Double> get() = learned.mapValues { it.value.millisPerToken }
 
-    fun millisPerToken(model: ModelId): Double = millisPerToken[model] ?: ASSUMED_MILLIS_PER_TOKEN
+    fun millisPerToken(model: ModelId): Double = learned[model]?.millisPerToken ?: ASSUMED_MILLIS_PER_TOKEN
 
     /** Milliseconds of an engine's time that [work] needs. */
     fun workMillis(work: ModelWork): Double =
@@ -20,12 +22,19 @@
 
     fun serviceMillis(service: ServiceId): Double = serviceMillis[service] ?: ASSUMED_SERVICE_MILLIS
 
-    /** A first event came after [observedMillis] where [predictedMillis] were predicted. */
-    fun promptRead(model: ModelId, predictedMillis: Double, observedMillis: Double) {
-        if (predictedMillis <= 0) return
-        val ratio = (observedMillis / predictedMillis).coerceIn(SMALLEST_RATIO, LARGEST_RATIO)
-        val known = millisPerToken(model)
-        millisPerToken[model] = (known * (1 + SPEED_WEIGHT * (ratio - 1)))
+    /**
+     * A first event came after [observedMillis] where [predictedMillis] were predicted, [promptMillis] of them for
+     * reading the prompt. Where most of the prediction was waiting, the observation says little about the model. The
+     * first observations of a model weigh more, because models differ in speed by a factor of ten.
+     */
+    fun promptRead(model: ModelId, predictedMillis: Double, promptMillis: Double, observedMillis: Double) {
+        if (promptMillis < predictedMillis * LEAST_PROMPT_SHARE) return
+        val known = learned.getOrPut(model) { Learned(ASSUMED_MILLIS_PER_TOKEN, 0) }
+        val ratio = ((observedMillis - (predictedMillis - promptMillis)) / promptMillis)
+            .coerceIn(SMALLEST_PROMPT_RATIO, LARGEST_PROMPT_RATIO)
+        known.observations++
+        val weight = maxOf(SPEED_WEIGHT, 1.0 / (known.observations + 1))
+        known.millisPerToken = (known.millisPerToken * (1 + weight * (ratio - 1)))
             .coerceIn(LEAST_MILLIS_PER_TOKEN, MOST_MILLIS_PER_TOKEN)
     }
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetPicker.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetPicker.kt
@@ -55,7 +55,7 @@
         val observed = (now - load.sentMillis).toDouble()
         target.observed(load.predictedMillis, observed)
         if (work != null) {
-            speed.promptRead(work.model, load.predictedMillis, observed)
+            speed.promptRead(work.model, load.predictedMillis, load.promptMillis, observed)
         } else if (target.peerLoad.requests + target.attempts.size <= target.record.slots) {
             speed.served(target.record.service, observed)
         }
