Let the last holder of orders go on at once after its restart

Change: an item without lease names the last holder, written with the holder item and conditioned on it. A VM that reads its own name there goes on without the hand-over time and need not wait for the end of its earlier lease. Of the others the VM that started last goes first. The release is conditioned on the revision, so a late one removes no later holder.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -59,9 +59,10 @@
         ports.store,
         loop,
         lease,
-        settings.vm,
+        "${settings.vm}@${settings.host}",
         settings.handOverMillis,
         settings.isFirstStart,
+        { peers.laterStarts(incarnation) },
         random,
         recorder,
     )
@@ -300,7 +301,7 @@
             when {
                 item.key == ports.layout.configurationKey -> apply(item)
                 item.key.startsWith(ports.layout.targetsPrefix) -> targetListener.written(item)
-                item.key == PlacementTerm.HOLDER_KEY -> term.written(item)
+                item.key.startsWith(PlacementTerm.KEY_PREFIX) -> term.written(item)
                 item.key.startsWith(MEMBER_PREFIX) -> joined(item)
             }
         }
@@ -308,7 +309,7 @@
         override fun removed(key: String) {
             when {
                 key.startsWith(ports.layout.targetsPrefix) -> targetListener.removed(key)
-                key == PlacementTerm.HOLDER_KEY -> term.vacant()
+                key.startsWith(PlacementTerm.KEY_PREFIX) -> term.removed(key)
                 key.startsWith(MEMBER_PREFIX) -> peers.left(VmId(key.removePrefix(MEMBER_PREFIX)))
             }
         }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/Peers.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/Peers.kt
@@ -33,6 +33,10 @@
             return (1.0 + states.values.count { it.isHeard(now) }) / (1 + states.values.count { it.mayRun(now) })
         }
 
+    /** Number of the registered VMs that have started after [incarnation]. */
+    internal fun laterStarts(incarnation: Long): Int =
+        states.values.count { peer -> (peer.member?.incarnation ?: 0) > incarnation }
+
     /** The last beats of the VMs that are heard from. */
     internal fun heardBeats(): List<PeerBeat> {
         val now = loop.nowMillis()
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/Defaults.kt
@@ -39,8 +39,11 @@
 /** Loads from the weight store that may begin at once in any case. */
 internal const val STORE_BURST_LEAST = 2.0
 
-/** Largest wait of a candidate before it tries to become holder, so that not all try at once. */
-internal const val CANDIDACY_SPREAD_MILLIS = 200L
+/** Milliseconds by which candidates of different rank try to become holder one after the other: some store calls. */
+internal const val CANDIDACY_STEP_MILLIS = 50L
+
+/** Ranks of candidates that are told apart, which bounds the wait in a large fleet. */
+internal const val CANDIDACY_RANKS = 6
 
 /** Milliseconds after which a candidate looks whether there is a holder. */
 internal const val CANDIDACY_RETRY_MILLIS = 700L
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementTerm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementTerm.kt
@@ -1,7 +1,6 @@
 package dev.bergamotwind.serving.placement
 
 import dev.bergamotwind.api.EventRecorder
-import dev.bergamotwind.api.VmId
 import dev.bergamotwind.core.event
 import dev.bergamotwind.serving.ServingLoop
 import dev.bergamotwind.serving.store.FleetStore
@@ -13,22 +12,27 @@
 
 /**
  * Which VM gives orders to engines: the one whose lease the holder item bears. Its revision of creation is the term.
- * A new holder waits for the hand-over time, in which orders of the one before may still arrive. Used on the serving
- * loop.
+ * A new holder waits for the hand-over time, in which orders of the one before may still arrive. A second item, which
+ * no lease ends, names the last holder: a VM that was it before its restart goes on without that wait, and need not
+ * wait for the end of its earlier lease either. Used on the serving loop.
  */
 public class PlacementTerm(
     private val store: FleetStore,
     private val loop: ServingLoop,
     private val lease: VmLease,
-    private val own: VmId,
+    /** This VM and its address; the name alone may pass to another machine. */
+    private val own: String,
     /** Milliseconds between the last order of one holder and the first of the next. */
     private val handOverMillis: Long,
     /** True when no VM can have been holder before. */
     private val isFirstStart: Boolean,
+    /** Number of the other VMs that have started after this one. */
+    private val laterStarts: () -> Int,
     private val random: Random,
     private val recorder: EventRecorder,
 ) {
-    private var holderLease: Long? = null
+    private var holder: StoreItem? = null
+    private var lastHolder: StoreItem? = null
     private var itemTerm = 0L
     private var firstOrderMillis = 0L
     private var seenHolder = false
@@ -36,43 +40,66 @@
     private var attempting = false
     private var released = false
 
+    /** True when the last attempt was made on the knowledge that this VM was the last holder. */
+    private var continuesOwnTerm = false
+
     /** Term of this VM as holder while it may give orders, or null. */
     public val term: Long?
         get() = itemTerm.takeIf {
-            !released && holderLease != null && holderLease == lease.id && lease.isValid &&
-                loop.nowMillis() >= firstOrderMillis
+            !released && isHolder && lease.isValid && loop.nowMillis() >= firstOrderMillis
         }
 
     /** True when this VM holds the term, also while it must not give orders yet. */
-    private val isHolder: Boolean get() = holderLease != null && holderLease == lease.id
+    private val isHolder: Boolean get() = holder != null && holder?.lease == lease.id
 
-    /** The holder item has been read. */
+    /** An item of this class has been read. */
     public fun written(item: StoreItem) {
+        if (item.key == HOLDER_KEY) holderWritten(item) else lastHolder = item
+    }
+
+    /** An item of this class is gone. */
+    public fun removed(key: String) {
+        if (key == HOLDER_KEY) vacant() else lastHolder = null
+    }
+
+    private fun holderWritten(item: StoreItem) {
         isKnown = true
-        if (holderLease == item.lease && itemTerm == item.createRevision) return
-        holderLease = item.lease
+        val known = holder
+        holder = item
+        if (known?.lease == item.lease && itemTerm == item.createRevision) return
         itemTerm = item.createRevision
-        val mine = isHolder
-        if (mine) {
-            val wait = if (isFirstStart && !seenHolder) 0 else handOverMillis
+        if (isHolder) {
+            val wait = if (continuesOwnTerm || (isFirstStart && !seenHolder)) 0 else handOverMillis
             firstOrderMillis = loop.nowMillis() + wait
             recorder.event("placement.holder") {
                 field("term", itemTerm)
                 field("first_order_in_millis", wait)
             }
+        } else if (item.isOwn) {
+            // An earlier process of this VM was the holder; its lease has not ended yet.
+            candidate()
         }
         seenHolder = true
     }
 
-    /** The holder item is gone, or there is none. */
-    public fun vacant() {
+    private fun vacant() {
         isKnown = true
-        holderLease = null
+        holder = null
+        candidate()
+    }
+
+    // The VM that was the holder goes first, then the one that has started last: a planned stop of all VMs in turn
+    // would otherwise often reach the next holder too.
+    private fun candidate() {
         if (released || attempting) return
         attempting = true
-        loop.schedule(random.nextLong(CANDIDACY_SPREAD_MILLIS), ::attempt)
+        val wasHolder = lastHolder?.isOwn == true || holder?.isOwn == true
+        val rank = if (wasHolder) 0 else 1 + laterStarts().coerceAtMost(CANDIDACY_RANKS)
+        loop.schedule(rank * CANDIDACY_STEP_MILLIS + random.nextLong(CANDIDACY_STEP_MILLIS), ::attempt)
     }
 
+    private val StoreItem.isOwn: Boolean get() = value.decodeToString() == own
+
     /** All items have been read once. */
     public fun caughtUp() {
         if (!isKnown) vacant()
@@ -80,31 +107,43 @@
 
     /** Gives the term up; [done] is called in any case. */
     public fun release(done: () -> Unit) {
-        val mine = isHolder
+        val held = holder.takeIf { isHolder }
         released = true
-        if (!mine) return done()
-        store.write(StoreWrite(removes = listOf(HOLDER_KEY))) { done() }
+        if (held == null) return done()
+        store.write(StoreWrite(mapOf(HOLDER_KEY to held.revision), removes = listOf(HOLDER_KEY))) { done() }
     }
 
     private fun attempt() {
         attempting = false
-        if (holderLease != null || released) return
+        if (released || !isOpen) return
         val held = lease.id
-        if (held == null || !lease.isValid) return vacant()
+        if (held == null || !lease.isValid) return candidate()
         attempting = true
-        val put = StorePut(HOLDER_KEY, own.value.toByteArray(), held)
-        store.write(StoreWrite(mapOf(HOLDER_KEY to 0L), listOf(put))) {
-            // Whatever the answer, the watch tells who is the holder; only a vacant place needs another attempt.
-            loop.schedule(CANDIDACY_RETRY_MILLIS) {
-                attempting = false
-                if (holderLease == null) vacant()
-            }
+        // Under the condition on the last holder's item nobody can have been the holder in between.
+        val expected = mapOf(HOLDER_KEY to (holder?.revision ?: 0L), LAST_HOLDER_KEY to (lastHolder?.revision ?: 0L))
+        continuesOwnTerm = lastHolder?.isOwn == true
+        val name = own.toByteArray()
+        val puts = listOf(StorePut(HOLDER_KEY, name, held), StorePut(LAST_HOLDER_KEY, name, lease = 0))
+        // Whatever the answer, the watch tells who is the holder; only an open place needs another attempt.
+        store.write(StoreWrite(expected, puts)) { retryLater() }
+    }
+
+    /** True when nobody is the holder, or an earlier process of this VM. */
+    private val isOpen: Boolean get() = holder.let { it == null || (it.isOwn && !isHolder) }
+
+    private fun retryLater() {
+        attempting = true
+        loop.schedule(CANDIDACY_RETRY_MILLIS) {
+            attempting = false
+            if (isOpen) candidate()
         }
     }
 
-    /** Keys in the store. */
+    /** Beginning of the keys in the store. */
     public companion object {
         /** Key of the holder item. */
-        public const val HOLDER_KEY: String = "bergamotwind/placement/holder"
+        public const val KEY_PREFIX: String = "bergamotwind/placement/"
+        internal const val HOLDER_KEY: String = KEY_PREFIX + "holder"
+        internal const val LAST_HOLDER_KEY: String = KEY_PREFIX + "last-holder"
     }
 }
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/store/PlacementTermSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/store/PlacementTermSpec.kt
@@ -1,7 +1,6 @@
 package dev.bergamotwind.serving.store
 
 import dev.bergamotwind.api.EventRecorder
-import dev.bergamotwind.api.VmId
 import dev.bergamotwind.serving.FakeStore
 import dev.bergamotwind.serving.ManualLoop
 import dev.bergamotwind.serving.placement.PlacementTerm
@@ -14,24 +13,61 @@
 
 /** Guards against two holders of orders within the hand-over time, whatever happens to the store, leases and clocks. */
 class PlacementTermSpec {
-    private class Vm(name: String, val loop: ManualLoop, store: FakeStore, random: Random) {
-        val lease = VmLease(store, loop, LEASE_MILLIS, random, EventRecorder.None)
-        val term = PlacementTerm(store, loop, lease, VmId(name), HAND_OVER_MILLIS, true, random, EventRecorder.None)
+    /** The way of one VM to the store, which ends with its process. */
+    private class Line(private val store: FakeStore) : FleetStore by store {
+        var isCut = false
+
+        override fun renew(lease: Long, reply: StoreReply<Long>) {
+            if (!isCut) store.renew(lease, reply)
+        }
+
+        override fun write(write: StoreWrite, reply: StoreReply<Long>) {
+            if (!isCut) store.write(write, reply)
+        }
+    }
+
+    private class Vm(
+        name: String,
+        val loop: ManualLoop,
+        store: FakeStore,
+        random: Random,
+        isFirstStart: Boolean = true,
+        laterStarts: Int = 0,
+    ) {
+        private val line = Line(store)
+        val lease = VmLease(line, loop, LEASE_MILLIS, random, EventRecorder.None)
+        val term = PlacementTerm(
+            line,
+            loop,
+            lease,
+            name,
+            HAND_OVER_MILLIS,
+            isFirstStart,
+            { laterStarts },
+            random,
+            EventRecorder.None,
+        )
         private val listener = object : StoreListener {
             override fun written(item: StoreItem) = term.written(item)
 
-            override fun removed(key: String) = term.vacant()
+            override fun removed(key: String) = term.removed(key)
 
             override fun caughtUp() = term.caughtUp()
 
             override fun regained(silentMillis: Long) = Unit
         }
-        val follower = StoreFollower(store, loop, "bergamotwind/placement/", random, EventRecorder.None, listener)
+        val follower = StoreFollower(line, loop, "bergamotwind/placement/", random, EventRecorder.None, listener)
 
         fun start() {
             follower.start()
             lease.start()
         }
+
+        /** Ends without a word, as a killed process does. */
+        fun kill() {
+            follower.stop()
+            line.isCut = true
+        }
     }
 
     data class FaultCase(val name: String, val strike: (FakeStore) -> Unit, val heal: (FakeStore) -> Unit) {
@@ -80,6 +116,49 @@
         assertEquals(null, vm.term.term)
     }
 
+    @Test
+    fun `a holder that is killed and starts again goes on at once, before its earlier lease has ended`() {
+        val loop = ManualLoop()
+        val store = FakeStore(loop)
+        val killed = Vm("vm-1", loop, store, Random(1)).also(Vm::start)
+        loop.advance(500)
+        assertTrue(killed.term.term != null)
+        killed.kill()
+        loop.advance(700)
+        val other = Vm("vm-2", loop, store, Random(2), isFirstStart = false).also(Vm::start)
+        val again = Vm("vm-1", loop, store, Random(3), isFirstStart = false).also(Vm::start)
+        loop.advance(300)
+        assertTrue(again.term.term != null)
+        assertEquals(null, other.term.term)
+    }
+
+    @Test
+    fun `another VM that follows a killed holder waits for the hand-over time`() {
+        val loop = ManualLoop()
+        val store = FakeStore(loop)
+        val killed = Vm("vm-1", loop, store, Random(1)).also(Vm::start)
+        loop.advance(500)
+        killed.kill()
+        val other = Vm("vm-2", loop, store, Random(2), isFirstStart = false).also(Vm::start)
+        loop.advance(LEASE_MILLIS + HAND_OVER_MILLIS - 600)
+        assertEquals(null, other.term.term)
+        loop.advance(1_500)
+        assertTrue(other.term.term != null)
+    }
+
+    @Test
+    fun `the VM that has started last follows a holder that stops, as the others may be stopped next`() {
+        val loop = ManualLoop()
+        val store = FakeStore(loop)
+        val stopping = Vm("vm-0", loop, store, Random(1)).also(Vm::start)
+        loop.advance(500)
+        val vms = List(3) { Vm("vm-${it + 1}", loop, store, Random(it), laterStarts = 2 - it).also(Vm::start) }
+        loop.advance(500)
+        stopping.term.release {}
+        loop.advance(HAND_OVER_MILLIS + 1_000)
+        assertEquals(listOf(false, false, true), vms.map { it.term.term != null })
+    }
+
     companion object {
         private const val LEASE_MILLIS = 3_000L
         private const val HAND_OVER_MILLIS = 3_200L
