--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
@@ -42,6 +42,13 @@
     val remainingMillis: Long
         get() = minOf(endMillis - context.loop.nowMillis(), context.stopMillis ?: Long.MAX_VALUE)
 
+    /** Milliseconds in which the answer must begin, because the caller leaves then if not before. */
+    val remainingToAnswerMillis: Long
+        get() {
+            val limit = route?.silenceLimitMillis ?: return remainingMillis
+            return minOf(remainingMillis, startedMillis + limit - context.loop.nowMillis())
+        }
+
     /** True when an attempt that did not run may be followed by another. */
     val maySendAgain: Boolean get() = sends < SEND_LIMIT && remainingMillis > LEAST_SERVICE_MILLIS
 
@@ -70,7 +77,7 @@
      */
     val patienceMillis: Double
         get() {
-            val bearable = remainingMillis * PATIENCE_SHARE
+            val bearable = remainingToAnswerMillis * PATIENCE_SHARE
             val current = route ?: return bearable
             // Urgent requests pass the others at an engine, so that their queue slows nobody else.
             if (Urgency.classOf(current) == UrgencyClass.URGENT) return bearable
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallRun.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallRun.kt
@@ -103,7 +103,7 @@
 
     private fun withoutTarget(need: TargetNeed) {
         val work = call.work
-        val remaining = progress.remainingMillis
+        val remaining = progress.remainingToAnswerMillis
         val expected = work?.let(context::expectedMillis) ?: EXPECTED_LOAD_MILLIS
         val mayWait = work != null && need.service.engine != null && (!progress.mayHaveRun || progress.isRepeatable)
         when {
@@ -127,7 +127,7 @@
 
     private fun awaitAdapter(choice: TargetChoice) {
         adapterTarget = choice.target
-        val limit = minOf(progress.remainingMillis - LEAST_SERVICE_MILLIS, ADAPTER_WAIT_MILLIS)
+        val limit = minOf(progress.remainingToAnswerMillis - LEAST_SERVICE_MILLIS, ADAPTER_WAIT_MILLIS)
         await(limit, "the adapter of model ${call.work?.model} was not loaded in time")
         context.wantAdapter(this)
     }
@@ -137,7 +137,7 @@
         cancelWait = loop.schedule(limitMillis.coerceAtLeast(0)) {
             val target = adapterTarget
             context.waitingRoom.leave(this)
-            if (target != null && progress.remainingMillis > ADAPTER_WAIT_MILLIS) {
+            if (target != null && progress.remainingToAnswerMillis > ADAPTER_WAIT_MILLIS) {
                 // Another target may get the adapter where this one could not.
                 progress.excluded += target.record.id
                 dispatch()
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/catalogue/ServedRoute.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/catalogue/ServedRoute.kt
@@ -25,6 +25,8 @@
     val isResumable: Boolean,
     /** Longest pause between the events of a stream that is on time. */
     val pauseLimitMillis: Long,
+    /** Longest time without an event, also before the first, after which callers leave a stream; null without limit. */
+    val silenceLimitMillis: Long? = null,
 ) {
     /** True when a request may be sent again although it may have run. */
     val isRepeatable: Boolean
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Samples.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Samples.kt
@@ -55,6 +55,7 @@
         isResumable: Boolean = false,
         attempts: Int = 2,
         timeoutMillis: Long = 5_000,
+        silenceLimitMillis: Long? = null,
     ) = ServedRoute(
         id = RouteId("route"),
         host = "host.example",
@@ -68,6 +69,7 @@
         isOpen = false,
         isResumable = isResumable,
         pauseLimitMillis = 400,
+        silenceLimitMillis = silenceLimitMillis,
     )
 
     fun team(name: String = "team", keys: Set<String> = setOf(KEY), rate: Double = 0.0, burst: Double = 0.0) =
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/ServingVmSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/ServingVmSpec.kt
@@ -307,6 +307,24 @@
         assertEquals(503, world.serve(Samples.call("r3")).status)
     }
 
+    data class SilenceCase(val limitMillis: Long, val refusedWithinMillis: Long)
+
+    @ParameterizedTest
+    @MethodSource("silences")
+    fun `a stream waits for its model only as long as its caller bears silence`(case: SilenceCase) {
+        val route = Samples.route(
+            RouteKind.STREAMING,
+            Samples.engines,
+            timeoutMillis = 15_000,
+            silenceLimitMillis = case.limitMillis,
+        )
+        val other = Samples.record("e1", Samples.engines, mapOf("m2" to emptySet()))
+        val world = World(Samples.configuration(route), listOf(other))
+        val waiting = world.serve(Samples.call(work = Samples.work("m1"), deadlineMillis = 15_000))
+        world.loop.advance(case.refusedWithinMillis)
+        assertEquals(503, waiting.status)
+    }
+
     @Test
     fun `a call that waits at a stopping VM gets a final answer before the process ends`() {
         val route = Samples.route(RouteKind.STREAMING, Samples.engines, timeoutMillis = 20_000)
@@ -335,6 +353,10 @@
             EndingCase(name, kind.first, kind.second, end, outcome.first, outcome.second)
         }
 
+        // The model is expected in 2.5 seconds: a caller that leaves before is refused at once.
+        @JvmStatic
+        fun silences() = listOf(SilenceCase(2_000, 0), SilenceCase(3_000, 3_000))
+
         @JvmStatic
         fun endings() = listOf(
             ending("a whole answer", { it.answer(200) }, once to (200 to 1), again to (200 to 1)),
