--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingSettings.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingSettings.kt
@@ -20,6 +20,8 @@
     /** Retries beyond that part in each window, over all VMs. */
     val retryFixed: Double,
     val retryWindowMillis: Long,
+    /** Tokens that a team may use beyond its rate and burst in a window, over all VMs. */
+    val rateToleranceTokens: Double,
     /** Time to live of the VM's lease in the store. */
     val leaseMillis: Long,
     /** Least time between the orders of one holder and those of the next. */
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -230,6 +230,7 @@
             term = term.term ?: 0,
             holdings = placement.takeChanges(),
             expected = placement.expected(),
+            levels = if (peers.hasNewcomer) context.rates.levels() else emptyMap(),
         )
     }
 
@@ -269,8 +270,9 @@
     }
 
     private fun apply(newer: ServedConfiguration, revision: Long) {
+        // A team that is added while this VM runs has used nothing, nor has any at the first start.
+        context.rates.configure(newer.teams.orEmpty(), areUnused = configuration != null || settings.isFirstStart)
         configuration = newer
-        context.rates.configure(newer.teams.orEmpty())
         recorder.event("configuration.applied") {
             field("version", newer.version)
             field("revision", revision)
@@ -325,7 +327,7 @@
     /** Takes in what other VMs tell. */
     private inner class Hearing : PeerListener {
         override fun heard(beat: PeerBeat) {
-            context.rates.peerSpent(beat.vm, beat.incarnation, beat.spent)
+            context.rates.peerSpent(beat.vm, beat.incarnation, beat.spent, beat.levels)
             targets.peerReported(beat.vm, beat.loads)
             if (beat.term >= highestTerm && beat.term > 0) {
                 highestTerm = beat.term
@@ -366,7 +368,7 @@
         override val picker =
             TargetPicker(targets, distance, ports.loop, this@ServingVm.random)
         override val transport: TargetTransport get() = ports.transport
-        override val rates = FleetRates(ports.loop) { peers.heardShare }
+        override val rates = FleetRates(ports.loop, settings.rateToleranceTokens) { peers.heardShare }
         override val waitingRoom = WaitingRoom()
         override val demand = DemandMeter()
         override val isStopping: Boolean get() = shutdown.isStopping
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/PeerBeat.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/PeerBeat.kt
@@ -46,4 +46,7 @@
     /** Models that are being loaded; only from the holder of orders. */
     @CborLabel(10)
     val expected: List<ExpectedModel> = emptyList(),
+    /** Units that each team may still use, while a VM has just started. */
+    @CborLabel(11)
+    val levels: Map<TeamId, Double> = emptyMap(),
 )
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/PeerState.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/PeerState.kt
@@ -8,6 +8,9 @@
     var address: InetSocketAddress? = null
     var leftMillis: Long? = null
     var heardMillis: Long? = null
+
+    /** Time at which the present start of the VM was first heard of. */
+    var startSeenMillis = Long.MIN_VALUE / 2
     var beat: PeerBeat? = null
 
     fun isHeard(nowMillis: Long): Boolean = heardMillis?.let { nowMillis - it < PEER_SILENCE_MILLIS } ?: false
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/Peers.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/Peers.kt
@@ -33,6 +33,10 @@
             return (1.0 + states.values.count { it.isHeard(now) }) / (1 + states.values.count { it.mayRun(now) })
         }
 
+    /** True while a VM has started so shortly ago that it does not know yet what teams have used. */
+    internal val hasNewcomer: Boolean
+        get() = loop.nowMillis().let { now -> states.values.any { now - it.startSeenMillis < NEWCOMER_MILLIS } }
+
     /** Number of the registered VMs that have started after [incarnation]. */
     internal fun laterStarts(incarnation: Long): Int =
         states.values.count { peer -> (peer.member?.incarnation ?: 0) > incarnation }
@@ -101,6 +105,7 @@
                 (beat.incarnation == known.incarnation && beat.number <= known.number)
             )
         if (isOld) return
+        if (beat.incarnation != known?.incarnation) peer.startSeenMillis = loop.nowMillis()
         peer.beat = beat
         peer.heardMillis = loop.nowMillis()
         if (peer.address == null) peer.address = sender
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/rate/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/rate/Defaults.kt
@@ -6,6 +6,12 @@
 /** Burst that is admitted beyond the configured one, for the same reason; the platform tolerates a tenth. */
 internal const val BURST_MARGIN = 1.1
 
+/** Part of the tolerated excess that is admitted on purpose; the rest covers the lag between VMs. */
+internal const val TOLERANCE_SHARE_USED = 0.3
+
+/** Milliseconds after the first look at a rate in which the level of another VM is taken over. */
+internal const val ADOPTION_MILLIS = 2_000L
+
 /** Bursts that a team may be behind after an excess by lag. */
 internal const val DEBT_LIMIT = 2.0
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/rate/FleetRate.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/rate/FleetRate.kt
@@ -7,10 +7,21 @@
  * its running total, so an excess by lag is paid back instead of adding up. For VMs that are not heard from, their
  * equal part of the rate is set aside; a VM that hears nobody is left with its own part. Used by one thread.
  */
-public class FleetRate(private var ratePerSecond: Double, private var burst: Double) {
+public class FleetRate(
+    private var ratePerSecond: Double,
+    private var burst: Double,
+    /** Units that all VMs may admit beyond the rate and burst because of their lag. */
+    private val tolerance: Double = 0.0,
+    /** True when the team cannot have used anything yet; otherwise the bucket starts with the tolerance only. */
+    isFull: Boolean = false,
+) {
     private val totals = HashMap<VmId, PeerTotal>()
-    private var level = 0.0
     private var updatedMillis: Long? = null
+    private var startedMillis: Long? = null
+
+    /** Units that may be admitted now; negative after an excess. */
+    public var level: Double = if (isFull) capacity() else tolerance
+        private set
 
     /** Units that this VM has admitted since its start. */
     public var spent: Double = 0.0
@@ -28,6 +39,7 @@
     public fun advance(nowMillis: Long, heardShare: Double) {
         val since = nowMillis - (updatedMillis ?: nowMillis)
         updatedMillis = nowMillis
+        if (startedMillis == null) startedMillis = nowMillis
         level = (level + since * ratePerSecond * RATE_MARGIN * heardShare / MILLIS_PER_SECOND).coerceAtMost(capacity())
     }
 
@@ -56,15 +68,29 @@
     public fun peerSpent(peer: VmId, incarnation: Long, total: Double) {
         val known = totals[peer]
         val before = if (known?.incarnation == incarnation) known.total else 0.0
-        totals[peer] = PeerTotal(incarnation, total)
+        if (known?.incarnation == incarnation) known.total = total else totals[peer] = PeerTotal(incarnation, total)
         val floor = -capacity() * DEBT_LIMIT
         // A VM that was just started does not know which part of a total is recent; the bucket starts empty instead.
         if (known != null) level = (level - (total - before)).coerceIn(floor, capacity())
     }
 
-    private fun capacity() = burst * BURST_MARGIN
+    /**
+     * Takes over [peerLevel], what [peer] believes is in the bucket, if this VM has just started: it cannot know what
+     * the team has left, and would refuse requests inside the rate until the bucket has filled.
+     */
+    public fun adopt(peer: VmId, peerLevel: Double) {
+        val known = totals[peer] ?: return
+        val age = (updatedMillis ?: 0) - (startedMillis ?: 0)
+        if (known.isAdopted || age > ADOPTION_MILLIS) return
+        known.isAdopted = true
+        level = maxOf(level, peerLevel.coerceAtMost(capacity()))
+    }
 
-    private class PeerTotal(val incarnation: Long, val total: Double)
+    private fun capacity() = burst * BURST_MARGIN + tolerance
+
+    private class PeerTotal(val incarnation: Long, var total: Double) {
+        var isAdopted = false
+    }
 
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/rate/FleetRates.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/rate/FleetRates.kt
@@ -6,22 +6,28 @@
 import dev.bergamotwind.serving.catalogue.ServedTeam
 
 /** The rates of all teams. Used on the serving loop. */
-public class FleetRates(private val loop: ServingLoop, private val heardShare: () -> Double) {
+public class FleetRates(
+    private val loop: ServingLoop,
+    /** Tokens that a team may use beyond its rate and burst, over all VMs. */
+    private val toleratedTokens: Double,
+    private val heardShare: () -> Double,
+) {
     private val rates = HashMap<TeamId, FleetRate>()
 
     /** Called when this VM has admitted so much of a team's burst that the others should know at once. */
     public var onLargeSpending: (() -> Unit)? = null
     private var untold = HashMap<TeamId, Double>()
 
-    /** Takes over the rates of a new configuration. */
-    public fun configure(teams: List<ServedTeam>) {
+    /** Takes over the rates of a new configuration. With [areUnused] the new ones among the teams start full. */
+    public fun configure(teams: List<ServedTeam>, areUnused: Boolean) {
         val limited = teams.filter { it.ratePerSecond > 0 }
         rates.keys.retainAll(limited.mapTo(HashSet()) { it.id })
         for (team in limited) {
             val burst = maxOf(team.burst, 1.0)
             val known = rates[team.id]
             if (known == null) {
-                rates[team.id] = FleetRate(team.ratePerSecond, burst)
+                val tolerance = if (team.countsTokens) toleratedTokens * TOLERANCE_SHARE_USED else 0.0
+                rates[team.id] = FleetRate(team.ratePerSecond, burst, tolerance, areUnused)
             } else {
                 known.configure(team.ratePerSecond, burst, loop.nowMillis())
             }
@@ -50,11 +56,23 @@
         return rates.mapValues { it.value.spent }
     }
 
-    /** Takes in the running totals of [peer]. */
-    public fun peerSpent(peer: VmId, incarnation: Long, totals: Map<TeamId, Double>) {
+    /** What this VM believes each team may still use, to be told to VMs that have just started. */
+    public fun levels(): Map<TeamId, Double> = rates.mapValues { (_, rate) ->
+        rate.advance(loop.nowMillis(), heardShare())
+        rate.level
+    }
+
+    /** Takes in the running totals of [peer], and the [levels] that it tells to VMs that have just started. */
+    public fun peerSpent(
+        peer: VmId,
+        incarnation: Long,
+        totals: Map<TeamId, Double>,
+        levels: Map<TeamId, Double> = emptyMap(),
+    ) {
         for ((team, rate) in rates) {
             rate.advance(loop.nowMillis(), heardShare())
             totals[team]?.let { rate.peerSpent(peer, incarnation, it) }
+            levels[team]?.let { rate.adopt(peer, it) }
         }
     }
 }
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/rate/FleetRateSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/rate/FleetRateSpec.kt
@@ -19,13 +19,15 @@
         /** Bounds of the units that all VMs admit in eight seconds. */
         val least: Double,
         val most: Double,
+        /** Units beyond the rate and burst that are admitted on purpose. */
+        val tolerance: Double = 0.0,
     ) {
         override fun toString() = name
     }
 
     /** A small fleet in steps of ten milliseconds; totals reach the others after the lag. */
     private class Fleet(val case: FleetCase) {
-        val rates = case.asked.map { FleetRate(RATE, BURST) }
+        val rates = case.asked.map { FleetRate(RATE, BURST, case.tolerance) }
         val history = mutableListOf<List<Double>>()
         var admitted = 0.0
         private val owed = DoubleArray(case.asked.size)
@@ -103,6 +105,30 @@
         assertTrue(!rate.tryTake(100.0))
     }
 
+    @Test
+    fun `a restarted VM takes over what another one knows, once`() {
+        val rate = FleetRate(1_000.0, 1_000.0)
+        rate.advance(0, 1.0)
+        assertTrue(!rate.tryTake(500.0))
+        rate.peerSpent(VmId("p"), 1, 5_000.0)
+        rate.adopt(VmId("p"), 700.0)
+        assertTrue(rate.tryTake(500.0))
+        rate.adopt(VmId("p"), 700.0)
+        assertTrue(!rate.tryTake(500.0))
+    }
+
+    @Test
+    fun `a VM that has run for a while keeps to its own count`() {
+        val rate = FleetRate(1_000.0, 1_000.0, isFull = true)
+        rate.advance(0, 1.0)
+        assertTrue(rate.tryTake(1_000.0))
+        rate.advance(2_100, 0.01)
+        assertTrue(rate.level < 200)
+        rate.peerSpent(VmId("p"), 1, 0.0)
+        rate.adopt(VmId("p"), 1_000.0)
+        assertTrue(!rate.tryTake(500.0))
+    }
+
     companion object {
         private const val RATE = 10_000.0
         private const val BURST = 10_000.0
@@ -121,6 +147,15 @@
             FleetCase("inside the rate, all at one VM", listOf(9_000.0, 0.0, 0.0), 100, false, 71_000.0, PERMITTED),
             FleetCase("five times the rate", List(6) { 8_333.0 }, 100, false, 78_000.0, PERMITTED),
             FleetCase("five times the rate, long lag", List(6) { 8_333.0 }, 400, false, 70_000.0, PERMITTED + 17_000),
+            FleetCase(
+                "five times the rate, long lag, with tolerance",
+                List(6) { 8_333.0 },
+                400,
+                false,
+                70_000.0,
+                PERMITTED + 17_000,
+                tolerance = 17_000 * TOLERANCE_SHARE_USED,
+            ),
             FleetCase("all VMs cut off", List(6) { 8_333.0 }, 100, true, 70_000.0, PERMITTED),
         )
     }
