Let slow readings of a prompt weigh less than fast ones

Work looked two to three times as large, and seven engines loaded the same model. Change: an observation that is slower than known has a fifth of the weight. PromptSpeedSpec: the case of requests of other VMs fails on the version before.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/Defaults.kt
@@ -39,6 +39,9 @@
 internal const val SMALLEST_PROMPT_RATIO = 0.1
 internal const val LARGEST_PROMPT_RATIO = 3.0
 
+/** Part of its weight that an observation of slow reading has. */
+internal const val SLOWER_WEIGHT = 0.2
+
 /** Least part of a prediction that must be the reading of the prompt for the observation to tell the model's speed. */
 internal const val LEAST_PROMPT_SHARE = 0.4
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/PromptSpeed.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/PromptSpeed.kt
@@ -33,7 +33,9 @@
         val ratio = ((observedMillis - (predictedMillis - promptMillis)) / promptMillis)
             .coerceIn(SMALLEST_PROMPT_RATIO, LARGEST_PROMPT_RATIO)
         known.observations++
-        val weight = maxOf(SPEED_WEIGHT, 1.0 / (known.observations + 1))
+        val first = maxOf(SPEED_WEIGHT, 1.0 / (known.observations + 1))
+        // Requests that other VMs have just sent make a prompt look slow; nothing makes it look fast.
+        val weight = if (ratio > 1) first * SLOWER_WEIGHT else first
         known.millisPerToken = (known.millisPerToken * (1 + weight * (ratio - 1)))
             .coerceIn(LEAST_MILLIS_PER_TOKEN, MOST_MILLIS_PER_TOKEN)
     }
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/targets/PromptSpeedSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/targets/PromptSpeedSpec.kt
@@ -30,6 +30,20 @@
         assertTrue(speed.millisPerToken(model) < ASSUMED_MILLIS_PER_TOKEN * 1.2) { "${speed.byModel}" }
     }
 
+    @Test
+    fun `requests of other VMs that go ahead now and then do not make a model look slow`() {
+        val speed = PromptSpeed()
+        repeat(60) { speed.observe(ASSUMED_MILLIS_PER_TOKEN * if (it % 3 == 0) 3.0 else 1.0) }
+        assertTrue(speed.millisPerToken(model) < ASSUMED_MILLIS_PER_TOKEN * 1.3) { "${speed.byModel}" }
+    }
+
+    @Test
+    fun `learns that a model reads prompts at half the speed`() {
+        val speed = PromptSpeed()
+        repeat(120) { speed.observe(ASSUMED_MILLIS_PER_TOKEN * 2) }
+        assertTrue(speed.millisPerToken(model) > ASSUMED_MILLIS_PER_TOKEN * 1.5) { "${speed.byModel}" }
+    }
+
     @Test
     fun `a request that mostly waited says nothing about its model`() {
         val speed = PromptSpeed()
