Count a refused request and its repeat as one demand

Change: half of the work of a request that is refused with a time to repeat it is taken off. DemandMeterSpec: its first case fails on the version before.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
@@ -25,6 +25,9 @@
     /** Units of the team's rate that the call was admitted for. */
     var units = 0.0
 
+    /** Milliseconds of an engine's time that the call was counted with as demand. */
+    var countedWork = 0.0
+
     /** Time at which the caller stops waiting, or its route does. */
     var endMillis = Long.MAX_VALUE
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallRun.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallRun.kt
@@ -68,7 +68,8 @@
         cancelEnd = loop.schedule(limit, ::timeOver)
         route.service(progress.serviceDraw)?.let(context::requested)
         call.work?.let { work ->
-            context.demand.arrived(work.model, context.picker.speed.workMillis(work), progress.startedMillis)
+            progress.countedWork = context.picker.speed.workMillis(work)
+            context.demand.arrived(work.model, progress.countedWork, progress.startedMillis)
         }
         dispatch()
     }
@@ -246,6 +247,9 @@
             exchange.answer(truthful.status, headers, text.toByteArray(), context.isStopping)
         }
         if (!progress.mayHaveRun) progress.team?.let { context.rates.giveBack(it.id, progress.units) }
+        if (truthful.retryAfterMillis != null) {
+            call.work?.let { context.demand.refused(it.model, progress.countedWork) }
+        }
         finish(if (relay.isStarted) "broken-off" else truthful.kind.name.lowercase(), null, truthful)
     }
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/Defaults.kt
@@ -54,6 +54,9 @@
 /** Milliseconds after which a candidate looks whether there is a holder. */
 internal const val CANDIDACY_RETRY_MILLIS = 700L
 
+/** Part of a refused request's work that is not counted: one of two arrivals, as callers repeat a request once. */
+internal const val REPEATED_SHARE = 0.5
+
 /** Seconds over which demand is averaged. */
 internal const val DEMAND_MEMORY_SECONDS = 3.0
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/DemandMeter.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/DemandMeter.kt
@@ -16,6 +16,12 @@
         level.work += workMillis
     }
 
+    /** A request that has arrived is refused for now; its caller mostly repeats it, and it would count twice. */
+    fun refused(model: ModelId, workMillis: Double) {
+        val level = levels[model] ?: return
+        level.work = (level.work - workMillis * REPEATED_SHARE).coerceAtLeast(0.0)
+    }
+
     /** Milliseconds of work that are asked for each second, by model. */
     fun workPerSecond(nowMillis: Long): Map<ModelId, Int> {
         levels.values.forEach { decay(it, nowMillis) }
--- /dev/null
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/DemandMeterSpec.kt
@@ -0,0 +1,39 @@
+package dev.bergamotwind.serving.placement
+
+import dev.bergamotwind.api.ModelId
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Guards against demand that is counted twice, which would load a model on engines that others need. */
+internal class DemandMeterSpec {
+    private val model = ModelId("m1")
+
+    /** Demand after ten seconds of ten requests a second; a refused request is repeated a second later. */
+    private fun measure(isRefused: Boolean): Int {
+        val meter = DemandMeter()
+        for (now in 0L until 10_000L step 100) {
+            val repeats = if (isRefused && now >= 1_000) 2 else 1
+            repeat(repeats) {
+                meter.arrived(model, 100.0, now)
+                if (isRefused) meter.refused(model, 100.0)
+            }
+        }
+        return meter.workPerSecond(10_000).getValue(model)
+    }
+
+    @Test
+    fun `requests that are refused and repeated count as much as those that are served at once`() {
+        val served = measure(isRefused = false)
+        val refused = measure(isRefused = true)
+        assertTrue(refused in served * 9 / 10..served * 11 / 10) { "served $served, refused $refused" }
+    }
+
+    @Test
+    fun `demand fades within seconds`() {
+        val meter = DemandMeter()
+        meter.arrived(model, 3_000.0, 0)
+        assertEquals(1_000, meter.workPerSecond(0)[model])
+        assertTrue((meter.workPerSecond(9_000)[model] ?: 0) < 100)
+    }
+}
