Give swaps their turn before adapters, and hand loads under way to the next holder

Change: a swap has the next turn after 200 ms and is planned anew when it has not begun within a second; an engine that is asked again or paused for a moment takes swaps; beats name the engine of each load under way, and the next holder goes on with them. The price of loads from the weight store is cubic in the share of busy engines.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -15,13 +15,13 @@
 import dev.bergamotwind.serving.call.WaitingRoom
 import dev.bergamotwind.serving.catalogue.ServedConfiguration
 import dev.bergamotwind.serving.peer.AdapterUse
-import dev.bergamotwind.serving.peer.ExpectedModel
 import dev.bergamotwind.serving.peer.ModelDemand
 import dev.bergamotwind.serving.peer.PeerBeat
 import dev.bergamotwind.serving.peer.PeerListener
 import dev.bergamotwind.serving.peer.PeerMember
 import dev.bergamotwind.serving.peer.Peers
 import dev.bergamotwind.serving.placement.DemandMeter
+import dev.bergamotwind.serving.placement.ExpectedLoads
 import dev.bergamotwind.serving.placement.PlacementManager
 import dev.bergamotwind.serving.placement.PlacementTerm
 import dev.bergamotwind.serving.rate.FleetRates
@@ -69,11 +69,12 @@
     private val distance = Distance(settings.failureDomain, settings.regions)
     private val peers = Peers(loop, settings.vm, ports.peers, distance::isSameRegion, Hearing())
     private val context = Context()
-    private val placement = PlacementManager(loop, targets, ports.orders, settings.vm, { term.term }, recorder)
+    private val expectedLoads = ExpectedLoads(loop)
+    private val placement =
+        PlacementManager(loop, targets, ports.orders, settings.vm, { term.term }, expectedLoads, recorder)
     private val retries = HashMap<ServiceId, RetryAllowance>()
     private val runs = LinkedHashSet<CallRun>()
     private val usedAdapters = LinkedHashSet<AdapterUse>()
-    private val expected = HashMap<ModelId, Long>()
     private val shutdown = Shutdown(settings.graceMillis, loop)
     private val targetListener = TargetListener(targets, loop, ports.decoder, recorder)
     private val follower =
@@ -332,7 +333,7 @@
             if (beat.term >= highestTerm && beat.term > 0) {
                 highestTerm = beat.term
                 beat.holdings.forEach { targets.told(it.target, it.models) }
-                expect(beat.expected)
+                if (expectedLoads.told(beat.expected)) wakeSoon()
             }
             if (term.term != null) {
                 beat.used.forEach(placement::used)
@@ -349,14 +350,6 @@
                 field("fault", failure.message)
             }
         }
-
-        private fun expect(models: List<ExpectedModel>) {
-            val now = loop.nowMillis()
-            val newlyKnown = models.any { it.model !in expected }
-            expected.clear()
-            models.forEach { expected[it.model] = now + it.millis }
-            if (newlyKnown) wakeSoon()
-        }
     }
 
     /** What calls need of this VM. */
@@ -393,11 +386,8 @@
             if (term.term != null) placement.used(use) else usedAdapters += use
         }
 
-        override fun expectedMillis(work: ModelWork): Long? {
-            val now = loop.nowMillis()
-            val own = placement.expected().firstOrNull { it.model == work.model }?.millis?.toLong()
-            return (own ?: expected[work.model]?.minus(now))?.coerceAtLeast(0)
-        }
+        override fun expectedMillis(work: ModelWork): Long? =
+            placement.millisUntil(work.model) ?: expectedLoads.millisUntil(work.model)
 
         override fun ended(run: CallRun) {
             runs -= run
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/ExpectedModel.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/ExpectedModel.kt
@@ -1,11 +1,12 @@
 package dev.bergamotwind.serving.peer
 
 import dev.bergamotwind.api.ModelId
+import dev.bergamotwind.api.TargetId
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
 
-/** A model that no target holds yet and the milliseconds until one is expected to. */
+/** A model that a target is loading and the milliseconds until it is expected there. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class ExpectedModel(
@@ -13,4 +14,6 @@
     val model: ModelId,
     @CborLabel(1)
     val millis: Int,
+    @CborLabel(2)
+    val target: TargetId,
 )
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/Defaults.kt
@@ -33,6 +33,9 @@
 /** How much more a swap must gain than it loses; smaller advantages would swap back and forth. */
 internal const val SWAP_ADVANTAGE = 1.5
 
+/** How much more a further copy from the weight store must gain than the only one. */
+internal const val FURTHER_COPY_FACTOR = 2.0
+
 /** Loss for each request under way at an engine that drops a model, in milliseconds of work a second. */
 internal const val REQUEST_DISTURBANCE = 0.5
 
@@ -67,10 +70,10 @@
 internal const val BUSY_DROP_MILLIS = 4_000L
 
 /** Least gain of a load from the weight store when all engines are busy, in milliseconds of work a second. */
-internal const val STORE_LOAD_PRICE = 500.0
+internal const val STORE_LOAD_PRICE = 1_100.0
 
-/** How much more a further copy from the weight store must gain than the only one. */
-internal const val FURTHER_COPY_FACTOR = 2.0
+/** Power of the busy engines' share in that price: half of the engines may be loading before it matters much. */
+internal const val STORE_PRICE_POWER = 3
 
 /** Milliseconds for dropping a model without requests: the order and the heartbeat that tells its end. */
 internal const val IDLE_DROP_MILLIS = 200L
@@ -99,6 +102,12 @@
 /** Milliseconds until an engine is asked whether an adapter that requests still used is gone. */
 internal const val ADAPTER_DROP_CHECK_MILLIS = 400L
 
+/** Milliseconds for which orders for adapters go before a planned swap: some of them. */
+internal const val SWAP_TURN_MILLIS = 200L
+
+/** Milliseconds after which a swap that has not begun is planned anew. */
+internal const val SWAP_LIFETIME_MILLIS = 1_000L
+
 /** Milliseconds for which a loaded model is not dropped while it has work. */
 internal const val RECENT_LOAD_MILLIS = 4_000L
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/EngineSeat.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/EngineSeat.kt
@@ -38,8 +38,27 @@
     /** The swap under way, or null. */
     var swap: Swap? = null
 
+    /** Time at which the swap was planned. */
+    var swapPlannedMillis = 0L
+
+    /** True once the engine has accepted an order of the swap. */
+    var hasSwapBegun = false
+
     /** Time of the last order or report. */
-    var lastWordMillis = 0L
+    var lastWordMillis = Long.MIN_VALUE / 2
+
+    /** Plans [newSwap]. */
+    fun plan(newSwap: Swap, nowMillis: Long) {
+        swap = newSwap
+        swapPlannedMillis = nowMillis
+        hasSwapBegun = false
+    }
+
+    /** Gives up a swap that could not begin for a while: demand has moved on, and its victim may be in use again. */
+    fun dropOutdatedSwap(nowMillis: Long) {
+        val isOutdated = !hasSwapBegun && !isCalling && nowMillis - swapPlannedMillis > SWAP_LIFETIME_MILLIS
+        if (isOutdated) swap = null
+    }
 
     /** Adapters of all models, those that are being dropped included. */
     val adapterCount: Int get() = models.values.sumOf { it.size } + leavingAdapters.size
@@ -67,7 +86,11 @@
     fun view(profile: EngineProfile, nowMillis: Long): EngineView {
         val record = target.record
         val isReachable = !target.health.isSuspended(nowMillis)
-        val isIdle = acceptedOrders != null && step == null && swap == null && nowMillis >= pausedUntilMillis
+        // An engine that is asked again after an order, or paused for a moment, takes the next order within the time
+        // that a planned swap waits; one that has not answered for longer does not.
+        val isAnswering = acceptedOrders != null || nowMillis - lastWordMillis < SWAP_LIFETIME_MILLIS
+        val isPaused = nowMillis + SWAP_LIFETIME_MILLIS / 2 < pausedUntilMillis
+        val isIdle = isAnswering && step == null && swap == null && !isPaused
         return EngineView(
             target = record.id,
             models = models.keys.toSet(),
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementManager.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementManager.kt
@@ -27,6 +27,7 @@
     private val orders: OrderTransport,
     private val own: VmId,
     private val term: () -> Long?,
+    private val expectedLoads: ExpectedLoads,
     private val recorder: EventRecorder,
 ) : SeatListener {
     private val seats = HashMap<TargetId, EngineSeat>()
@@ -54,12 +55,20 @@
         return seats.values.mapNotNull { seat ->
             val step = seat.step
             when {
-                step?.kind == OrderKind.LOAD -> ExpectedModel(step.model, (step.expectedMillis - now).toInt())
-                else -> seat.swap?.let { ExpectedModel(it.load, (it.loadMillis + DROP_MILLIS).toInt()) }
+                step?.kind == OrderKind.LOAD ->
+                    ExpectedModel(step.model, (step.expectedMillis - now).toInt(), seat.target.record.id)
+
+                else -> seat.swap?.let {
+                    ExpectedModel(it.load, (it.loadMillis + DROP_MILLIS).toInt(), seat.target.record.id)
+                }
             }
         }
     }
 
+    /** Milliseconds until [model] is expected at the first engine that is loading it, or null when none is. */
+    fun millisUntil(model: ModelId): Long? =
+        expected().filter { it.model == model }.minOfOrNull { it.millis.toLong().coerceAtLeast(0) }
+
     /** A request at some VM waits for an adapter. */
     fun wanted(use: AdapterUse) {
         val seat = seats[use.target] ?: return
@@ -130,6 +139,10 @@
 
     private fun add(engine: TargetState) {
         val seat = EngineSeat(engine).also { it.reported(engine.record.models) }
+        expectedLoads.at(engine.record.id)?.let { load ->
+            val check = load.endMillis + STEP_CHECK_MILLIS
+            seat.step = SeatStep(OrderKind.LOAD, load.model, loop.nowMillis(), check, load.endMillis)
+        }
         seats[engine.record.id] = seat
         seatOrders[engine.record.id] = SeatOrders(seat, loop, orders, own, term, recorder, this)
     }
@@ -141,6 +154,7 @@
         demand: Map<ModelId, ModelDemand>,
     ) {
         val now = loop.nowMillis()
+        engines.forEach { it.dropOutdatedSwap(now) }
         val storeLoads = pace(service).available(now, profile.storeLoadsPerSecond)
         for (swap in SwapPlanner(profile).plan(engines.map { it.view(profile, now) }, demand, storeLoads)) {
             val seat = seats[swap.target] ?: continue
@@ -153,7 +167,7 @@
                 field("load_millis", swap.loadMillis)
                 field("from_store", swap.fromStore)
             }
-            seat.swap = swap
+            seat.plan(swap, now)
             seatOrders[swap.target]?.advance(profile)
         }
     }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SeatOrders.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SeatOrders.kt
@@ -33,11 +33,15 @@
         when {
             seat.acceptedOrders == null -> ask()
             step != null -> if (now >= step.checkMillis) ask()
+            isSwapNext(now) -> swapStep(profile)
             seat.wanted.isNotEmpty() -> adapterStep(profile)
-            seat.swap != null -> swapStep(profile)
         }
     }
 
+    // Requests want adapters all the time, so a swap would never have its turn behind them.
+    private fun isSwapNext(now: Long): Boolean = seat.swap != null &&
+        (seat.wanted.isEmpty() || seat.hasSwapBegun || now - seat.swapPlannedMillis >= SWAP_TURN_MILLIS)
+
     /** The engine's record in the store may be newer than what orders and reports told. */
     fun followRecord() {
         val step = seat.step
@@ -227,7 +231,11 @@
     private fun accepted(order: TargetOrder) {
         seat.acceptedOrders = order.acceptedOrders + 1
         when {
-            order.adapter == null -> modelStep(order)
+            order.adapter == null -> {
+                seat.hasSwapBegun = true
+                modelStep(order)
+            }
+
             order.kind == OrderKind.LOAD -> adapterComing(order.model to order.adapter)
             else -> checkDroppedAdapters()
         }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SwapPlanner.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SwapPlanner.kt
@@ -5,6 +5,7 @@
 import dev.bergamotwind.serving.catalogue.ServedModel
 import dev.bergamotwind.serving.peer.ModelDemand
 import kotlin.math.max
+import kotlin.math.pow
 
 /**
  * Decides which model an engine should load next, and which ones make room. What counts is the work that no engine has
@@ -21,7 +22,8 @@
         val swaps = mutableListOf<Swap>()
         var model = neediest(demand, copies, settled)
         while (model != null && usable.any { it.freeInMillis == 0L }) {
-            val price = storePrice(engines.size, usable.count { it.freeInMillis == 0L }, copies.expected(model.id))
+            val busy = engines.size - usable.count { it.freeInMillis == 0L }
+            val price = storePrice(busy.toDouble() / engines.size, model.id, copies)
             val swap = bestSwap(usable, model, demand, copies, if (storeLoadsLeft > 0) price else Double.MAX_VALUE)
             if (swap == null) {
                 settled += model.id
@@ -42,12 +44,12 @@
 
     /**
      * Least gain of a load from the weight store, in milliseconds of work a second. Such a load keeps its engine from
-     * all other orders for many seconds, which matters the more the fewer engines are [idle]; the last ones are for
-     * models that no engine holds.
+     * all other orders for many seconds, which matters the more the fewer engines are idle; the last ones are for
+     * models that no engine holds or loads.
      */
-    private fun storePrice(engines: Int, idle: Int, copies: Int): Double {
-        val busyShare = (engines - idle).toDouble() / engines
-        return STORE_LOAD_PRICE * busyShare * busyShare * if (copies > 0) FURTHER_COPY_FACTOR else 1.0
+    private fun storePrice(busyShare: Double, model: ModelId, copies: Copies): Double {
+        val factor = if (copies.expected(model) > 0) FURTHER_COPY_FACTOR else 1.0
+        return STORE_LOAD_PRICE * busyShare.pow(STORE_PRICE_POWER) * factor
     }
 
     private fun bestSwap(
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/PlacementManagerSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/PlacementManagerSpec.kt
@@ -10,6 +10,7 @@
 import dev.bergamotwind.serving.Samples
 import dev.bergamotwind.serving.catalogue.RouteKind
 import dev.bergamotwind.serving.peer.AdapterUse
+import dev.bergamotwind.serving.peer.ExpectedModel
 import dev.bergamotwind.serving.peer.ModelDemand
 import dev.bergamotwind.serving.targets.TargetBook
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -114,7 +115,7 @@
                 onOrder = { _, order, reply -> engine.order(order, reply) }
             }
             var term: Long? = 5
-            val manager = PlacementManager(loop, book, orders, VmId("vm"), { term }, EventRecorder.None)
+            val manager = PlacementManager(loop, book, orders, VmId("vm"), { term }, ExpectedLoads(loop), EventRecorder.None)
             // Waiting requests want adapters again as soon as they hear of a change, in the midst of a decision.
             book.onChange = { loop.schedule(0) { manager.wanted(use(random)) } }
             val configuration = Samples.configuration(Samples.route(RouteKind.STREAMING, Samples.engines))
@@ -145,7 +146,7 @@
                 TargetReport(held, busy, 4)
             }
         }
-        val manager = PlacementManager(loop, book, orders, VmId("vm"), { 9 }, EventRecorder.None)
+        val manager = PlacementManager(loop, book, orders, VmId("vm"), { 9 }, ExpectedLoads(loop), EventRecorder.None)
         val configuration = Samples.configuration(Samples.route(RouteKind.STREAMING, Samples.engines))
         repeat(20) {
             manager.tick(configuration, mapOf(ModelId("m3") to ModelDemand(3, 100)))
@@ -160,6 +161,82 @@
         assertEquals(OrderKind.UNLOAD, orders.given.first().kind)
     }
 
+    @Test
+    fun `a swap has its turn although requests want adapters all the time`() {
+        val loop = ManualLoop()
+        val book = TargetBook(loop)
+        val held = mapOf("m1" to emptySet<String>())
+        book.apply(Samples.record("e1", Samples.engines, held).copy(modelsOnDisk = setOf(ModelId("m2"))))
+        val orders = FakeOrders().apply {
+            onOrder = { _, _, reply -> loop.schedule(20) { reply(OrderOutcome.ACCEPTED) } }
+        }
+        val manager = PlacementManager(loop, book, orders, VmId("vm"), { 9 }, ExpectedLoads(loop), EventRecorder.None)
+        val configuration = Samples.configuration(Samples.route(RouteKind.STREAMING, Samples.engines))
+        var wants = 0
+        repeat(75) { round ->
+            repeat(4) {
+                manager.wanted(AdapterUse(TargetId("e1"), ModelId("m1"), AdapterId("a${wants++}")))
+            }
+            if (round % 10 == 0) manager.tick(configuration, mapOf(ModelId("m2") to ModelDemand(3, 100)))
+            loop.advance(20)
+        }
+        assertTrue(orders.given.any { it.adapter == null && it.model == ModelId("m2") }) { "${orders.given}" }
+    }
+
+    @Test
+    fun `a swap that could not begin is planned anew, so that it does not drop a model that is in use by now`() {
+        val loop = ManualLoop()
+        val book = TargetBook(loop)
+        val held = mapOf("m1" to emptySet<String>(), "m2" to emptySet())
+        book.apply(Samples.record("e1", Samples.engines, held).copy(modelsOnDisk = setOf(ModelId("m3"))))
+        val report = TargetReport(listOf("m1", "m2").associate { ModelId(it) to emptySet() }, false, 0)
+        var isAnswering = true
+        val orders = FakeOrders().apply {
+            onReport = { report.takeIf { isAnswering } }
+            onOrder = { _, _, reply -> reply(OrderOutcome.UNKNOWN) }
+        }
+        val manager = PlacementManager(loop, book, orders, VmId("vm"), { 9 }, ExpectedLoads(loop), EventRecorder.None)
+        val configuration = Samples.configuration(Samples.route(RouteKind.STREAMING, Samples.engines))
+        manager.tick(configuration, mapOf(ModelId("m2") to ModelDemand(0, 500)))
+        loop.advance(200)
+        val early = mapOf(ModelId("m2") to ModelDemand(0, 500), ModelId("m3") to ModelDemand(2, 50))
+        manager.tick(configuration, early)
+        isAnswering = false
+        assertEquals(listOf(ModelId("m1")), orders.given.map { it.model })
+        val late = mapOf(ModelId("m1") to ModelDemand(0, 900), ModelId("m2") to ModelDemand(0, 500))
+        repeat(10) {
+            loop.advance(200)
+            manager.tick(configuration, late)
+        }
+        isAnswering = true
+        repeat(10) {
+            loop.advance(200)
+            manager.tick(configuration, late)
+        }
+        assertEquals(listOf(ModelId("m1")), orders.given.map { it.model })
+    }
+
+    @Test
+    fun `a new holder knows the loads of the one before and does not order them once more`() {
+        val loop = ManualLoop()
+        val book = TargetBook(loop)
+        val names = listOf("e1", "e2", "e3")
+        names.forEach { book.apply(Samples.record(it, Samples.engines, mapOf("m1" to emptySet()))) }
+        val orders = FakeOrders().apply {
+            onReport = { TargetReport(it.models, isBusy = it.id.value == "e1", acceptedOrders = 3) }
+        }
+        val told = ExpectedLoads(loop)
+        told.told(listOf(ExpectedModel(ModelId("m2"), 6_000, TargetId("e1"))))
+        val manager = PlacementManager(loop, book, orders, VmId("vm"), { 9 }, told, EventRecorder.None)
+        val configuration = Samples.configuration(Samples.route(RouteKind.STREAMING, Samples.engines))
+        repeat(10) {
+            manager.tick(configuration, mapOf(ModelId("m2") to ModelDemand(0, 200)))
+            loop.advance(200)
+        }
+        assertEquals(emptyList<TargetOrder>(), orders.given)
+        assertEquals(4_000L, manager.millisUntil(ModelId("m2")))
+    }
+
     private fun use(random: Random) =
         AdapterUse(TargetId("e1"), ModelId("m${random.nextInt(1, 3)}"), AdapterId("a${random.nextInt(20)}"))
 
