Keep the load of other VMs as a running sum

Each of 81 beats a second summed the parts of 81 VMs anew for every target, and the share of VMs heard from was counted anew for every team.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/rate/FleetRates.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/rate/FleetRates.kt
@@ -69,8 +69,10 @@
         totals: Map<TeamId, Double>,
         levels: Map<TeamId, Double> = emptyMap(),
     ) {
+        val now = loop.nowMillis()
+        val share = heardShare()
         for ((team, rate) in rates) {
-            rate.advance(loop.nowMillis(), heardShare())
+            rate.advance(now, share)
             totals[team]?.let { rate.peerSpent(peer, incarnation, it) }
             levels[team]?.let { rate.adopt(peer, it) }
         }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/LoadShare.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/LoadShare.kt
@@ -36,6 +36,15 @@
         memoryTokens + other.memoryTokens,
     )
 
+    /** Returns the difference. */
+    public operator fun minus(other: LoadShare): LoadShare = LoadShare(
+        requests - other.requests,
+        urgentMillis - other.urgentMillis,
+        usualMillis - other.usualMillis,
+        patientMillis - other.patientMillis,
+        memoryTokens - other.memoryTokens,
+    )
+
     /** Prompt reading that comes before that of a new request of [urgency], in milliseconds. */
     public fun promptMillisAhead(urgency: UrgencyClass): Int = when (urgency) {
         UrgencyClass.URGENT -> urgentMillis
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetState.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetState.kt
@@ -65,8 +65,9 @@
     }
 
     internal fun peerReported(peer: VmId, share: LoadShare?) {
-        if (share == null) peerLoads.remove(peer) else peerLoads[peer] = share
-        peerLoad = peerLoads.values.fold(LoadShare(), LoadShare::plus)
+        val before = if (share == null) peerLoads.remove(peer) else peerLoads.put(peer, share)
+        // Kept as a running sum: each of many VMs tells its part several times a second.
+        if (before != share) peerLoad = peerLoad - (before ?: NO_LOAD) + (share ?: NO_LOAD)
     }
 
     /** What this VM has under way here. */
@@ -113,4 +114,8 @@
         holdings.putAll(models)
         absentUntil.clear()
     }
+
+    private companion object {
+        val NO_LOAD = LoadShare()
+    }
 }
