--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingSettings.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingSettings.kt
@@ -24,6 +24,8 @@
     val rateToleranceTokens: Double,
     /** Time to live of the VM's lease in the store. */
     val leaseMillis: Long,
+    /** Time for which changes in the store may stay unknown to a VM that gives no orders. */
+    val watchPauseMillis: Long,
     /** Least time between the orders of one holder and those of the next. */
     val handOverMillis: Long,
     /** Time from the signal to stop until the process is killed. */
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -24,6 +24,7 @@
 import dev.bergamotwind.serving.placement.ExpectedLoads
 import dev.bergamotwind.serving.placement.PlacementManager
 import dev.bergamotwind.serving.placement.PlacementTerm
+import dev.bergamotwind.serving.placement.TermSettings
 import dev.bergamotwind.serving.rate.FleetRates
 import dev.bergamotwind.serving.rate.RetryAllowance
 import dev.bergamotwind.serving.store.StoreFollower
@@ -59,9 +60,7 @@
         ports.store,
         loop,
         lease,
-        "${settings.vm}@${settings.host}",
-        settings.handOverMillis,
-        settings.isFirstStart,
+        TermSettings("${settings.vm}@${settings.host}", settings.handOverMillis, settings.isFirstStart),
         { peers.laterStarts(incarnation) },
         random,
         recorder,
@@ -78,7 +77,9 @@
     private val shutdown = Shutdown(settings.graceMillis, loop)
     private val targetListener = TargetListener(targets, loop, ports.decoder, recorder)
     private val follower =
-        StoreFollower(ports.store, loop, ports.layout.followedPrefix, random, recorder, Following())
+        StoreFollower(ports.store, loop, ports.layout.followedPrefix, random, recorder, Following()) {
+            if (term.needsChangesAtOnce) 0 else settings.watchPauseMillis
+        }
     private var configuration: ServedConfiguration? = null
     private var isCaughtUp = false
     private var highestTerm = 0L
@@ -137,7 +138,7 @@
         if (peers.isBeatDue()) beat(isUrgent = false)
         val current = configuration
         if (current != null && ticks % TICKS_PER_PLAN == 0L) {
-            placement.tick(current, demandOfAll())
+            placement.tick(current, if (term.term == null) emptyMap() else demandOfAll())
             // Suspended targets come back without a change that would be told.
             wakeSoon()
         }
@@ -231,7 +232,7 @@
             term = term.term ?: 0,
             holdings = placement.takeChanges(),
             expected = placement.expected(),
-            levels = if (peers.hasNewcomer) context.rates.levels() else emptyMap(),
+            levels = if (peers.hasRecentStart) context.rates.levels() else emptyMap(),
         )
     }
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/Defaults.kt
@@ -16,7 +16,7 @@
 internal const val EARLY_BEAT_PART = 5
 
 /** Milliseconds after a VM's start in which the others tell it what teams may still use: some beats. */
-internal const val NEWCOMER_MILLIS = 1_200L
+internal const val RECENT_START_MILLIS = 1_200L
 
 /** Milliseconds without a beat after which a VM counts as silent: two of the longest intervals. */
 internal const val PEER_SILENCE_MILLIS = 2_000L
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/Peers.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/Peers.kt
@@ -34,8 +34,8 @@
         }
 
     /** True while a VM has started so shortly ago that it does not know yet what teams have used. */
-    internal val hasNewcomer: Boolean
-        get() = loop.nowMillis().let { now -> states.values.any { now - it.startSeenMillis < NEWCOMER_MILLIS } }
+    internal val hasRecentStart: Boolean
+        get() = loop.nowMillis().let { now -> states.values.any { now - it.startSeenMillis < RECENT_START_MILLIS } }
 
     /** Number of the registered VMs that have started after [incarnation]. */
     internal fun laterStarts(incarnation: Long): Int =
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementTerm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementTerm.kt
@@ -20,12 +20,7 @@
     private val store: FleetStore,
     private val loop: ServingLoop,
     private val lease: VmLease,
-    /** This VM and its address; the name alone may pass to another machine. */
-    private val own: String,
-    /** Milliseconds between the last order of one holder and the first of the next. */
-    private val handOverMillis: Long,
-    /** True when no VM can have been holder before. */
-    private val isFirstStart: Boolean,
+    private val settings: TermSettings,
     /** Number of the other VMs that have started after this one. */
     private val laterStarts: () -> Int,
     private val random: Random,
@@ -52,6 +47,9 @@
     /** True when this VM holds the term, also while it must not give orders yet. */
     private val isHolder: Boolean get() = holder != null && holder?.lease == lease.id
 
+    /** True while what the store says must be known at once: by the holder, and by all when there is none. */
+    internal val needsChangesAtOnce: Boolean get() = holder == null || isHolder
+
     /** An item of this class has been read. */
     public fun written(item: StoreItem) {
         if (item.key == HOLDER_KEY) holderWritten(item) else lastHolder = item
@@ -69,7 +67,7 @@
         if (known?.lease == item.lease && itemTerm == item.createRevision) return
         itemTerm = item.createRevision
         if (isHolder) {
-            val wait = if (continuesOwnTerm || (isFirstStart && !seenHolder)) 0 else handOverMillis
+            val wait = if (continuesOwnTerm || (settings.isFirstStart && !seenHolder)) 0 else settings.handOverMillis
             firstOrderMillis = loop.nowMillis() + wait
             recorder.event("placement.holder") {
                 field("term", itemTerm)
@@ -77,7 +75,7 @@
             }
         } else if (item.isOwn) {
             // An earlier process of this VM was the holder; its lease has not ended yet.
-            candidate()
+            scheduleAttempt()
         }
         seenHolder = true
     }
@@ -85,12 +83,12 @@
     private fun vacant() {
         isKnown = true
         holder = null
-        candidate()
+        scheduleAttempt()
     }
 
     // The VM that was the holder goes first, then the one that has started last: a planned stop of all VMs in turn
     // would otherwise often reach the next holder too.
-    private fun candidate() {
+    private fun scheduleAttempt() {
         if (released || attempting) return
         attempting = true
         val wasHolder = lastHolder?.isOwn == true || holder?.isOwn == true
@@ -98,7 +96,7 @@
         loop.schedule(rank * CANDIDACY_STEP_MILLIS + random.nextLong(CANDIDACY_STEP_MILLIS), ::attempt)
     }
 
-    private val StoreItem.isOwn: Boolean get() = value.decodeToString() == own
+    private val StoreItem.isOwn: Boolean get() = value.decodeToString() == settings.own
 
     /** All items have been read once. */
     public fun caughtUp() {
@@ -117,12 +115,12 @@
         attempting = false
         if (released || !isOpen) return
         val held = lease.id
-        if (held == null || !lease.isValid) return candidate()
+        if (held == null || !lease.isValid) return scheduleAttempt()
         attempting = true
         // Under the condition on the last holder's item nobody can have been the holder in between.
         val expected = mapOf(HOLDER_KEY to (holder?.revision ?: 0L), LAST_HOLDER_KEY to (lastHolder?.revision ?: 0L))
         continuesOwnTerm = lastHolder?.isOwn == true
-        val name = own.toByteArray()
+        val name = settings.own.toByteArray()
         val puts = listOf(StorePut(HOLDER_KEY, name, held), StorePut(LAST_HOLDER_KEY, name, lease = 0))
         // Whatever the answer, the watch tells who is the holder; only an open place needs another attempt.
         store.write(StoreWrite(expected, puts)) { retryLater() }
@@ -135,7 +133,7 @@
         attempting = true
         loop.schedule(CANDIDACY_RETRY_MILLIS) {
             attempting = false
-            if (isOpen) candidate()
+            if (isOpen) scheduleAttempt()
         }
     }
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SeatOrders.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SeatOrders.kt
@@ -237,6 +237,7 @@
             }
 
             order.kind == OrderKind.LOAD -> adapterComing(order.model to order.adapter)
+
             else -> checkDroppedAdapters()
         }
     }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SwapPlanner.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SwapPlanner.kt
@@ -65,16 +65,13 @@
             .minByOrNull { it.cost + gain * it.delayMillis / MILLIS_PER_SECOND }?.swap
     }
 
-    private fun neediest(
-        demand: Map<ModelId, ModelDemand>,
-        copies: Copies,
-        settled: Set<ModelId>,
-    ): ServedModel? = demand.entries
-        .filter { (model, _) -> model !in settled && model in profile.models }
-        .map { (model, value) -> model to gain(value, copies.expected(model)) }
-        .filter { (_, gain) -> gain >= LEAST_GAIN }
-        .maxByOrNull { (_, gain) -> gain }
-        ?.let { (model, _) -> profile.models[model] }
+    private fun neediest(demand: Map<ModelId, ModelDemand>, copies: Copies, settled: Set<ModelId>): ServedModel? =
+        demand.entries
+            .filter { (model, _) -> model !in settled && model in profile.models }
+            .map { (model, value) -> model to gain(value, copies.expected(model)) }
+            .filter { (_, gain) -> gain >= LEAST_GAIN }
+            .maxByOrNull { (_, gain) -> gain }
+            ?.let { (model, _) -> profile.models[model] }
 
     /** Milliseconds of work a second that [copies] of a model leave undone. */
     private fun undone(demand: ModelDemand?, copies: Int): Double {
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/StoreFollower.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/StoreFollower.kt
@@ -16,13 +16,18 @@
     private val random: Random,
     private val recorder: EventRecorder,
     private val listener: StoreListener,
+    /**
+     * Least milliseconds between the beginnings of two watches. Every change ends the watches of all VMs, so without a
+     * pause the calls grow with the changes times the VMs; changes during the pause come together with the next watch.
+     */
+    private val pauseMillis: () -> Long = { 0 },
 ) {
     private val known = HashSet<String>()
     private var revision: Long? = null
     private var failures = 0
     private var stopped = false
     private var cancelWatch: () -> Unit = {}
-
+    private var watchedMillis: Long? = null
     private var contactMillis: Long? = null
 
     /** The store has answered another call of this VM. */
@@ -68,8 +73,14 @@
     }
 
     private fun watch() {
+        val wait = watchedMillis?.let { it + pauseMillis() - loop.nowMillis() } ?: 0
+        if (wait > 0) cancelWatch = loop.schedule(wait, ::watchNow) else watchNow()
+    }
+
+    private fun watchNow() {
         val after = revision
         if (stopped || after == null) return
+        watchedMillis = loop.nowMillis()
         cancelWatch = store.watch(prefix, after, WATCH_WAIT_MILLIS) { result ->
             result.fold(::watchFailed) { changes ->
                 contact()
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Samples.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Samples.kt
@@ -133,6 +133,7 @@
         retryShare = 0.2,
         retryFixed = 50.0,
         retryWindowMillis = 10_000,
+        watchPauseMillis = 0,
         rateToleranceTokens = 0.0,
         leaseMillis = 3_000,
         handOverMillis = 3_200,
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/PlacementManagerSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/PlacementManagerSpec.kt
@@ -115,7 +115,7 @@
                 onOrder = { _, order, reply -> engine.order(order, reply) }
             }
             var term: Long? = 5
-            val manager = PlacementManager(loop, book, orders, VmId("vm"), { term }, ExpectedLoads(loop), EventRecorder.None)
+            val manager = manager(loop, book, orders) { term }
             // Waiting requests want adapters again as soon as they hear of a change, in the midst of a decision.
             book.onChange = { loop.schedule(0) { manager.wanted(use(random)) } }
             val configuration = Samples.configuration(Samples.route(RouteKind.STREAMING, Samples.engines))
@@ -146,7 +146,7 @@
                 TargetReport(held, busy, 4)
             }
         }
-        val manager = PlacementManager(loop, book, orders, VmId("vm"), { 9 }, ExpectedLoads(loop), EventRecorder.None)
+        val manager = manager(loop, book, orders)
         val configuration = Samples.configuration(Samples.route(RouteKind.STREAMING, Samples.engines))
         repeat(20) {
             manager.tick(configuration, mapOf(ModelId("m3") to ModelDemand(3, 100)))
@@ -170,7 +170,7 @@
         val orders = FakeOrders().apply {
             onOrder = { _, _, reply -> loop.schedule(20) { reply(OrderOutcome.ACCEPTED) } }
         }
-        val manager = PlacementManager(loop, book, orders, VmId("vm"), { 9 }, ExpectedLoads(loop), EventRecorder.None)
+        val manager = manager(loop, book, orders)
         val configuration = Samples.configuration(Samples.route(RouteKind.STREAMING, Samples.engines))
         var wants = 0
         repeat(75) { round ->
@@ -195,7 +195,7 @@
             onReport = { report.takeIf { isAnswering } }
             onOrder = { _, _, reply -> reply(OrderOutcome.UNKNOWN) }
         }
-        val manager = PlacementManager(loop, book, orders, VmId("vm"), { 9 }, ExpectedLoads(loop), EventRecorder.None)
+        val manager = manager(loop, book, orders)
         val configuration = Samples.configuration(Samples.route(RouteKind.STREAMING, Samples.engines))
         manager.tick(configuration, mapOf(ModelId("m2") to ModelDemand(0, 500)))
         loop.advance(200)
@@ -227,7 +227,7 @@
         }
         val told = ExpectedLoads(loop)
         told.told(listOf(ExpectedModel(ModelId("m2"), 6_000, TargetId("e1"))))
-        val manager = PlacementManager(loop, book, orders, VmId("vm"), { 9 }, told, EventRecorder.None)
+        val manager = manager(loop, book, orders, told)
         val configuration = Samples.configuration(Samples.route(RouteKind.STREAMING, Samples.engines))
         repeat(10) {
             manager.tick(configuration, mapOf(ModelId("m2") to ModelDemand(0, 200)))
@@ -237,6 +237,14 @@
         assertEquals(4_000L, manager.millisUntil(ModelId("m2")))
     }
 
+    private fun manager(
+        loop: ManualLoop,
+        book: TargetBook,
+        orders: FakeOrders,
+        told: ExpectedLoads = ExpectedLoads(loop),
+        term: () -> Long? = { 9 },
+    ) = PlacementManager(loop, book, orders, VmId("vm"), term, told, EventRecorder.None)
+
     private fun use(random: Random) =
         AdapterUse(TargetId("e1"), ModelId("m${random.nextInt(1, 3)}"), AdapterId("a${random.nextInt(20)}"))
 
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/SwapPlannerSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/SwapPlannerSpec.kt
@@ -72,10 +72,36 @@
         private val asked = ModelDemand(2, 20)
 
         @JvmStatic
-        fun cases() = demandCases() + storeCases() + riskCases()
+        fun cases() = demandCases() + storeCases() + priceCases() + riskCases()
 
         private val allTwice = setOf("m1", "m2", "m3", "m4", "m5", "m6")
 
+        private fun priceCases() = listOf(
+            Case(
+                "the last idle engine of four is kept for models that none holds",
+                listOf(
+                    engine("e1", "m1", "m2", onDisk = allTwice),
+                    engine("e2", "m1", "m3", freeInMillis = null, onDisk = allTwice),
+                    engine("e3", "m1", "m3", freeInMillis = null, onDisk = allTwice),
+                    engine("e4", "m3", "m4", onDisk = setOf("m3", "m4", "m2", "m5")),
+                ).map { if (it.target.value == "e1") it.copy(freeInMillis = 30_000) else it },
+                mapOf("m1" to ModelDemand(0, 5_000), "m6" to ModelDemand(0, 0)),
+                emptySet(),
+            ),
+            Case(
+                "no load from the weight store for a single request while most engines are busy",
+                listOf(engine("e1", "m1")) + List(4) { engine("busy-$it", "m2", freeInMillis = null) },
+                mapOf("m3" to ModelDemand(1, 5)),
+                emptySet(),
+            ),
+            Case(
+                "a load from the weight store for several requests although most engines are busy",
+                listOf(engine("e1", "m1")) + List(4) { engine("busy-$it", "m2", freeInMillis = null) },
+                mapOf("m3" to ModelDemand(4, 40)),
+                setOf("e1: - +m3"),
+            ),
+        )
+
         private fun riskCases() = listOf(
             Case(
                 "the engine whose disk gives up a model that others have at hand too",
@@ -106,18 +132,6 @@
                 mapOf("m1" to ModelDemand(0, 200), "m2" to ModelDemand(0, 150), "m3" to ModelDemand(1, 10)),
                 emptySet(),
             ),
-            Case(
-                "no load from the weight store for a single request while most engines are busy",
-                listOf(engine("e1", "m1")) + List(4) { engine("busy-$it", "m2", freeInMillis = null) },
-                mapOf("m3" to ModelDemand(1, 5)),
-                emptySet(),
-            ),
-            Case(
-                "a load from the weight store for several requests although most engines are busy",
-                listOf(engine("e1", "m1")) + List(4) { engine("busy-$it", "m2", freeInMillis = null) },
-                mapOf("m3" to ModelDemand(4, 40)),
-                setOf("e1: - +m3"),
-            ),
             Case(
                 "a second copy of the model that all work is for, although one is enough for it",
                 listOf(engine("e1", "m1"), engine("e2", "m2", onDisk = allTwice)),
@@ -158,17 +172,6 @@
         )
 
         private fun storeCases() = listOf(
-            Case(
-                "the last idle engine of four is kept for models that none holds",
-                listOf(
-                    engine("e1", "m1", "m2", onDisk = allTwice),
-                    engine("e2", "m1", "m3", freeInMillis = null, onDisk = allTwice),
-                    engine("e3", "m1", "m3", freeInMillis = null, onDisk = allTwice),
-                    engine("e4", "m3", "m4", onDisk = setOf("m3", "m4", "m2", "m5")),
-                ).map { if (it.target.value == "e1") it.copy(freeInMillis = 30_000) else it },
-                mapOf("m1" to ModelDemand(0, 5_000), "m6" to ModelDemand(0, 0)),
-                emptySet(),
-            ),
             Case(
                 "a model whose only engine cannot be reached",
                 listOf(engine("e1", "m1", isReachable = false), engine("e2", "m2")),
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/store/PlacementTermSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/store/PlacementTermSpec.kt
@@ -4,6 +4,7 @@
 import dev.bergamotwind.serving.FakeStore
 import dev.bergamotwind.serving.ManualLoop
 import dev.bergamotwind.serving.placement.PlacementTerm
+import dev.bergamotwind.serving.placement.TermSettings
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -40,9 +41,7 @@
             line,
             loop,
             lease,
-            name,
-            HAND_OVER_MILLIS,
-            isFirstStart,
+            TermSettings(name, HAND_OVER_MILLIS, isFirstStart),
             { laterStarts },
             random,
             EventRecorder.None,
