Wait for the last holder of orders after a loss of power

Change: a VM that has just started lets half a second pass for the last holder, if another was it. PlacementTermSpec: the new case fails on the version before.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementTerm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementTerm.kt
@@ -26,6 +26,7 @@
     private val random: Random,
     private val recorder: EventRecorder,
 ) {
+    private val startedMillis = loop.nowMillis()
     private var holder: StoreItem? = null
     private var lastHolder: StoreItem? = null
     private var itemTerm = 0L
@@ -87,13 +88,17 @@
     }
 
     // The VM that was the holder goes first, then the one that has started last: a planned stop of all VMs in turn
-    // would otherwise often reach the next holder too.
+    // would otherwise often reach the next holder too. After a loss of power all VMs start within a few tenths of a
+    // second, so the others wait for the one that was the holder and need not wait for the hand-over time then.
     private fun scheduleAttempt() {
         if (released || attempting) return
         attempting = true
         val wasHolder = lastHolder?.isOwn == true || holder?.isOwn == true
         val rank = if (wasHolder) 0 else 1 + laterStarts().coerceAtMost(CANDIDACY_RANKS)
-        loop.schedule(rank * CANDIDACY_STEP_MILLIS + random.nextLong(CANDIDACY_STEP_MILLIS), ::attempt)
+        val isRecentStart = loop.nowMillis() - startedMillis < ALL_STARTED_MILLIS
+        val wait = if (!wasHolder && lastHolder != null && isRecentStart) LAST_HOLDER_WAIT_MILLIS else 0
+        val step = CANDIDACY_STEP_MILLIS
+        loop.schedule(wait + rank * step + random.nextLong(step), ::attempt)
     }
 
     private val StoreItem.isOwn: Boolean get() = value.decodeToString() == settings.own
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/store/PlacementTermSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/store/PlacementTermSpec.kt
@@ -131,6 +131,22 @@
         assertEquals(null, other.term.term)
     }
 
+    @Test
+    fun `after a loss of power the last holder goes on at once although another VM is up before it`() {
+        val loop = ManualLoop()
+        val store = FakeStore(loop)
+        val lost = Vm("vm-1", loop, store, Random(1)).also(Vm::start)
+        loop.advance(500)
+        lost.kill()
+        loop.advance(LEASE_MILLIS + 500)
+        val other = Vm("vm-2", loop, store, Random(2), isFirstStart = false).also(Vm::start)
+        loop.advance(250)
+        val again = Vm("vm-1", loop, store, Random(3), isFirstStart = false).also(Vm::start)
+        loop.advance(500)
+        assertTrue(again.term.term != null)
+        assertEquals(null, other.term.term)
+    }
+
     @Test
     fun `another VM that follows a killed holder waits for the hand-over time`() {
         val loop = ManualLoop()
