--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/Defaults.kt
@@ -51,7 +51,7 @@
 /** Milliseconds by which candidates of different rank try to become holder one after the other: some store calls. */
 internal const val CANDIDACY_STEP_MILLIS = 50L
 
-/** Milliseconds after its start in which a VM expects that others, the last holder among them, have just started too. */
+/** Milliseconds after its start in which a VM expects that the other VMs have just started too. */
 internal const val ALL_STARTED_MILLIS = 2_000L
 
 /** Milliseconds by which the VMs of one power-up may lag behind each other until they can try to become holder. */
