Ask an engine whose entry in the store differs from its last report

Read for causes: 2.5 s after the last order or report an entry that differs was taken for what the engine holds at the known number of accepted orders. An entry is old while its target cannot reach the store, and lacks adapters that requests still use, so the next load may not fit although its condition holds. Change: such a difference makes the holder ask the engine. PlacementManagerSpec: the new case ends with three models where two fit on the version before.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SeatOrders.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SeatOrders.kt
@@ -54,10 +54,10 @@
             step?.kind == OrderKind.UNLOAD && step.model !in held && now - step.startedMillis > LEAST_STEP_MILLIS ->
                 finished(step)
 
-            isQuiet && now - seat.lastWordMillis > RECORD_LAG_MILLIS && held != seat.models -> {
-                seat.reported(held)
-                listener.changed(seat)
-            }
+            // The record may also be older, if its target cannot reach the store. Only the engine tells what it holds
+            // at its number of accepted orders.
+            isQuiet && now - seat.lastWordMillis > RECORD_LAG_MILLIS && held != seat.models ->
+                seat.acceptedOrders = null
         }
     }
 
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/PlacementManagerSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/PlacementManagerSpec.kt
@@ -161,6 +161,37 @@
         assertEquals(OrderKind.UNLOAD, orders.given.first().kind)
     }
 
+    @Test
+    fun `never overfills an engine whose entry in the store is old`() {
+        val loop = ManualLoop()
+        val engine = Engine(loop, Random(1), lossShare = 0.0)
+        engine.models[ModelId("m1")] = mutableSetOf()
+        val book = TargetBook(loop)
+        val onDisk = listOf("m1", "m2", "m3").mapTo(HashSet(), ::ModelId)
+        // The target cannot reach the store: its entry goes on to say that it holds one model.
+        book.apply(Samples.record("e1", Samples.engines, mapOf("m1" to emptySet())).copy(modelsOnDisk = onDisk))
+        val orders = FakeOrders().apply {
+            onReport = { engine.report() }
+            onOrder = { _, order, reply -> engine.order(order, reply) }
+        }
+        val manager = manager(loop, book, orders)
+        val configuration = Samples.configuration(Samples.route(RouteKind.STREAMING, Samples.engines))
+        val asked = ModelDemand(3, 100)
+        repeat(10) {
+            manager.tick(configuration, mapOf(ModelId("m2") to asked))
+            loop.advance(200)
+        }
+        repeat(40) {
+            manager.tick(configuration, emptyMap())
+            loop.advance(200)
+        }
+        repeat(10) {
+            manager.tick(configuration, mapOf(ModelId("m3") to asked))
+            loop.advance(200)
+        }
+        assertEquals(null, engine.overfilled)
+    }
+
     @Test
     fun `a swap has its turn although requests want adapters all the time`() {
         val loop = ManualLoop()
