Count the heard share once for all teams, and put key comments right

Found by reading the change once more; behaviour is the same. Telling the levels of rates counted the share of VMs heard from anew for every team, as taking in a beat did before; both use one function now. A peer's total is looked up once, a flag is not set twice, and the comments of the term's keys and of a restarted VM's bucket say what the code does.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementTerm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementTerm.kt
@@ -135,16 +135,15 @@
     private val isOpen: Boolean get() = holder.let { it == null || (it.isOwn && !isHolder) }
 
     private fun retryLater() {
-        attempting = true
         loop.schedule(CANDIDACY_RETRY_MILLIS) {
             attempting = false
             if (isOpen) scheduleAttempt()
         }
     }
 
-    /** Beginning of the keys in the store. */
+    /** Keys in the store. */
     public companion object {
-        /** Key of the holder item. */
+        /** Beginning of the keys of this class's items. */
         public const val KEY_PREFIX: String = "bergamotwind/placement/"
         internal const val HOLDER_KEY: String = KEY_PREFIX + "holder"
         internal const val LAST_HOLDER_KEY: String = KEY_PREFIX + "last-holder"
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/rate/FleetRate.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/rate/FleetRate.kt
@@ -67,10 +67,12 @@
     /** Takes in the running [total] of [peer], which begins anew with each [incarnation] of it. */
     public fun peerSpent(peer: VmId, incarnation: Long, total: Double) {
         val known = totals[peer]
-        val before = if (known?.incarnation == incarnation) known.total else 0.0
-        if (known?.incarnation == incarnation) known.total = total else totals[peer] = PeerTotal(incarnation, total)
+        val current = known?.takeIf { it.incarnation == incarnation }
+            ?: PeerTotal(incarnation, 0.0).also { totals[peer] = it }
+        val before = current.total
+        current.total = total
         val floor = -capacity() * DEBT_LIMIT
-        // A VM that was just started does not know which part of a total is recent; the bucket starts empty instead.
+        // A VM that was just started does not know which part of a total is recent; see adopt.
         if (known != null) level = (level - (total - before)).coerceIn(floor, capacity())
     }
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/rate/FleetRates.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/rate/FleetRates.kt
@@ -57,9 +57,9 @@
     }
 
     /** What this VM believes each team may still use, to be told to VMs that have just started. */
-    public fun levels(): Map<TeamId, Double> = rates.mapValues { (_, rate) ->
-        rate.advance(loop.nowMillis(), heardShare())
-        rate.level
+    public fun levels(): Map<TeamId, Double> {
+        advanceAll()
+        return rates.mapValues { it.value.level }
     }
 
     /** Takes in the running totals of [peer], and the [levels] that it tells to VMs that have just started. */
@@ -69,12 +69,17 @@
         totals: Map<TeamId, Double>,
         levels: Map<TeamId, Double> = emptyMap(),
     ) {
-        val now = loop.nowMillis()
-        val share = heardShare()
+        advanceAll()
         for ((team, rate) in rates) {
-            rate.advance(now, share)
             totals[team]?.let { rate.peerSpent(peer, incarnation, it) }
             levels[team]?.let { rate.adopt(peer, it) }
         }
     }
+
+    // The share is counted over all VMs, so once for all teams.
+    private fun advanceAll() {
+        val now = loop.nowMillis()
+        val share = heardShare()
+        rates.values.forEach { it.advance(now, share) }
+    }
 }
