Bound what servers in trouble may send, and count unanswered orders across restarts

Change: UnansweredOrders keeps what may still take effect by engine id, and an order that would leave no room for it is held back. Progress is counted in whole events; limits are those of the moment of the check.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -53,6 +53,7 @@
 ) {
     private val loop = ports.loop
     private val recorder: EventRecorder = ports.recorder
+    private val guard = StepGuard(recorder)
     private val incarnation = loop.wallMillis()
     private val targets = TargetBook(loop)
     private val lease = VmLease(ports.store, loop, settings.leaseMillis, random, recorder)
@@ -135,25 +136,29 @@
 
     private fun tick() {
         ticks++
-        if (peers.isBeatDue()) beat(isUrgent = false)
-        val current = configuration
-        if (current != null && ticks % TICKS_PER_PLAN == 0L) {
-            placement.tick(current, if (term.term == null) emptyMap() else demandOfAll())
-            // Suspended targets come back without a change that would be told.
-            wakeSoon()
-        }
+        if (peers.isBeatDue()) guard.run("beat") { beat(isUrgent = false) }
+        if (ticks % TICKS_PER_PLAN == 0L) guard.run("plan", ::plan)
         if (ticks % TICKS_PER_SWEEP == 0L) {
-            peers.sweep()
-            targets.all.forEach { it.forgetSlowness() }
+            guard.run("sweep") {
+                peers.sweep()
+                targets.all.forEach { it.forgetSlowness() }
+            }
         }
-        if (ticks % TICKS_PER_STATE == 0L) recordState()
-        if (shutdown.closesIdle) ports.callers.closeIdle()
+        if (ticks % TICKS_PER_STATE == 0L) guard.run("state", ::recordState)
+        if (shutdown.closesIdle) guard.run("idle connections", ports.callers::closeIdle)
         val stopMillis = shutdown.remainingMillis
-        if (stopMillis != null && stopMillis <= 0) runs.toList().forEach(CallRun::stop)
+        if (stopMillis != null && stopMillis <= 0) runs.toList().forEach { guard.run("stop", it::stop) }
         if (shutdown.isStopping && shutdown.mayEnd(runs.size)) return endStopped()
         loop.schedule(TICK_MILLIS, ::tick)
     }
 
+    private fun plan() {
+        val current = configuration ?: return
+        placement.tick(current, if (term.term == null) emptyMap() else demandOfAll())
+        // Suspended targets come back without a change that would be told.
+        wakeSoon()
+    }
+
     private fun recordState(): Unit = recorder.event("vm.state") {
         field("active_requests", runs.size)
         field("waiting", context.waitingRoom.size)
@@ -227,7 +232,7 @@
             spent = context.rates.totals(),
             loads = loads,
             demand = ownDemand(),
-            wanted = context.waitingRoom.waitingForAdapter().mapNotNull(::adapterUse).distinct(),
+            wanted = context.waitingRoom.waitingForAdapter().mapNotNull { it.adapterUse }.distinct(),
             used = used,
             term = term.term ?: 0,
             holdings = placement.takeChanges(),
@@ -250,13 +255,6 @@
         return sum
     }
 
-    private fun adapterUse(run: CallRun): AdapterUse? {
-        val work = run.call.work ?: return null
-        val adapter = work.adapter ?: return null
-        val target = run.adapterTarget ?: return null
-        return AdapterUse(target.record.id, work.model, adapter)
-    }
-
     private fun apply(item: StoreItem) {
         ports.decoder.configuration(item).fold(
             { fault ->
@@ -378,12 +376,12 @@
         override fun tryRetry(service: ServiceId): Boolean = allowance(service).tryRetry(loop.nowMillis(), peers.count)
 
         override fun wantAdapter(run: CallRun) {
-            val use = adapterUse(run) ?: return
+            val use = run.adapterUse ?: return
             if (term.term != null) placement.wanted(use) else beatSoon()
         }
 
         override fun usedAdapter(run: CallRun) {
-            val use = adapterUse(run) ?: return
+            val use = run.adapterUse ?: return
             if (term.term != null) placement.used(use) else usedAdapters += use
         }
 
--- /dev/null
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/StepGuard.kt
@@ -0,0 +1,21 @@
+package dev.bergamotwind.serving
+
+import dev.bergamotwind.api.EventRecorder
+import dev.bergamotwind.core.event
+
+/** Runs steps that must not end one another: an unexpected error is recorded and ends only its own step. */
+internal class StepGuard(private val recorder: EventRecorder) {
+    /** Runs [action], which the record of a failure calls [step]. */
+    @Suppress("TooGenericExceptionCaught") // Whatever one item or step does wrong, the next one must be reached.
+    fun run(step: String, action: () -> Unit) {
+        try {
+            action()
+        } catch (failure: RuntimeException) {
+            recorder.event("step.failed") {
+                field("step", step)
+                field("fault", failure.toString())
+                field("at", failure.stackTrace.firstOrNull())
+            }
+        }
+    }
+}
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/AnswerRelay.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/AnswerRelay.kt
@@ -17,6 +17,10 @@
     var isStarted = false
         private set
 
+    /** Whole events of a stream that have arrived, those that the caller already had included. */
+    var events = 0
+        private set
+
     /** Id of the last event sent, or null. */
     var lastEventId: Long? = null
         private set
@@ -36,6 +40,7 @@
             return body.size() <= PLAIN_ANSWER_LIMIT_BYTES
         }
         val events = splitter.read(bytes) ?: return false
+        this.events += events.size
         for (event in events) {
             val last = lastEventId
             // A resumed stream may repeat what the caller already has.
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallAttempt.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallAttempt.kt
@@ -22,11 +22,16 @@
     private var handle: Attempt? = null
     private var head: AnswerHead? = null
 
-    /** Time of the last byte of the answer, or of the sending. */
-    var lastByteMillis = context.loop.nowMillis()
+    private var cancelRefusal: () -> Unit = {}
+
+    /**
+     * Time at which the answer last got further: by its head, a byte of a plain answer or a whole event of a stream.
+     * A byte now and then does not count for a stream, or a stalled one would never be given up.
+     */
+    var lastProgressMillis = context.loop.nowMillis()
         private set
 
-    /** True once a byte of the answer's body has arrived. */
+    /** True once a byte of a plain answer, or a whole event of a stream, has arrived. */
     var hasBytes = false
         private set
 
@@ -57,13 +62,20 @@
     override fun head(head: AnswerHead) {
         if (!isActive) return
         heard()
+        lastProgressMillis = now
         this.head = head
         head.load?.let { target.reported(it, now) }
         when {
             !head.isOwn || (head.isSuccess && !head.isSigned) ->
                 spoiled("the answer is not the target's own answer to this request")
 
-            head.notRun -> Unit
+            // The head says it all; a body that does not end soon is not waited for.
+            head.notRun -> cancelRefusal = context.loop.schedule(REFUSAL_BODY_MILLIS) {
+                if (isActive) {
+                    handle?.cancel()
+                    refused(head)
+                }
+            }
 
             // The caller already has the status of a success, so a failure can only break the stream off.
             relay.isStarted && !head.isSuccess -> spoiled("the resumption was answered with status ${head.status}")
@@ -76,9 +88,9 @@
         val current = head
         if (!isActive || current == null || current.notRun) return
         heard()
-        if (isStream && current.isSuccess && !hasBytes) context.picker.answered(target, load, call.work)
-        hasBytes = true
+        val before = relay.events
         if (!relay.bytes(bytes)) return spoiled("the answer cannot be read")
+        if (!(isStream && current.isSuccess) || relay.events > before) progressed(current)
         if (!exchange.isWritable && !isPaused) pause()
     }
 
@@ -105,9 +117,12 @@
         owner.failed(this, reason)
     }
 
-    private fun heard() {
-        lastByteMillis = now
-        target.health.heard(lastByteMillis)
+    private fun heard(): Unit = target.health.heard(now)
+
+    private fun progressed(head: AnswerHead) {
+        lastProgressMillis = now
+        if (isStream && head.isSuccess && !hasBytes) context.picker.answered(target, load, call.work)
+        hasBytes = true
     }
 
     private fun spoiled(reason: String) {
@@ -121,12 +136,13 @@
         handle?.pause(true)
         exchange.onWritable = {
             isPaused = false
-            lastByteMillis = now
+            lastProgressMillis = now
             if (isActive) handle?.pause(false)
         }
     }
 
     private fun refused(head: AnswerHead) {
+        cancelRefusal()
         val work = call.work
         when {
             head.answeredByOther -> target.health.suspend(now, REPLACED_SUSPENSION_MILLIS)
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallRun.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallRun.kt
@@ -3,6 +3,7 @@
 import dev.bergamotwind.api.CallerExchange
 import dev.bergamotwind.serving.catalogue.ServedRoute
 import dev.bergamotwind.serving.catalogue.ServedTeam
+import dev.bergamotwind.serving.peer.AdapterUse
 import dev.bergamotwind.serving.targets.TargetChoice
 import dev.bergamotwind.serving.targets.TargetNeed
 import dev.bergamotwind.serving.targets.TargetState
@@ -27,6 +28,14 @@
     var adapterTarget: TargetState? = null
         private set
 
+    /** The adapter that is awaited or used, with its target, or null. */
+    val adapterUse: AdapterUse?
+        get() {
+            val target = adapterTarget?.record?.id
+            val adapter = call.work?.adapter
+            return if (target == null || adapter == null) null else AdapterUse(target, call.work.model, adapter)
+        }
+
     /** True while waiting for a model that no target holds. */
     var waitsForModel = false
         private set
@@ -178,7 +187,7 @@
         if (!isActive(attempt) || !progress.mayRunAgain || !progress.hasOtherTarget(call, attempt.target)) return
         attempt.cancel()
         attempt.target.health.unreachable(loop.nowMillis())
-        failed(attempt, "no byte for ${loop.nowMillis() - attempt.lastByteMillis} ms")
+        failed(attempt, "no progress for ${loop.nowMillis() - attempt.lastProgressMillis} ms")
     }
 
     override fun isActive(attempt: CallAttempt): Boolean = active === attempt
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/Defaults.kt
@@ -46,6 +46,9 @@
 /** Part of the target latency that an attempt may take in any case. */
 internal const val SILENCE_TARGET_SHARE = 0.75
 
+/** Milliseconds for the body of an answer whose head says that the request was not run; it tells nothing more. */
+internal const val REFUSAL_BODY_MILLIS = 200L
+
 /** A stream is silent after this many of its longest pauses. */
 internal const val PAUSE_FACTOR = 4
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/SilenceWatch.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/SilenceWatch.kt
@@ -9,12 +9,12 @@
 
     /** Watches [attempt] until [cancel]; [onSilence] is called at each check that finds it silent. */
     fun watch(attempt: CallAttempt, route: ServedRoute, onSilence: (CallAttempt) -> Unit) {
-        val limit = limitMillis(attempt, route)
-        cancelNext = loop.schedule(limit) {
+        cancelNext = loop.schedule(limitMillis(attempt, route)) {
             // The next check comes first, because the silence may end this watch.
             watch(attempt, route, onSilence)
-            val isSilent = !attempt.isPaused && loop.nowMillis() - attempt.lastByteMillis >= limit
-            if (isSilent) onSilence(attempt)
+            // The limit is that of now: the answer may have begun since the check was scheduled.
+            val silentMillis = loop.nowMillis() - attempt.lastProgressMillis
+            if (!attempt.isPaused && silentMillis >= limitMillis(attempt, route)) onSilence(attempt)
         }
     }
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementManager.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementManager.kt
@@ -32,6 +32,9 @@
 ) : SeatListener {
     private val seats = HashMap<TargetId, EngineSeat>()
     private val seatOrders = HashMap<TargetId, SeatOrders>()
+
+    // Kept beyond a seat: an order that an engine left unanswered may outlive the engine's restart under the same id.
+    private val unanswered = HashMap<TargetId, UnansweredOrders>()
     private val paces = HashMap<ServiceId, StoreLoadPace>()
     private val changed = LinkedHashSet<TargetId>()
     private var configuration: ServedConfiguration? = null
@@ -119,6 +122,7 @@
     private fun termChanged(current: Long?) {
         lastTerm = current
         seats.clear()
+        seatOrders.values.forEach { it.isRetired = true }
         seatOrders.clear()
         changed.clear()
         paces.clear()
@@ -130,7 +134,7 @@
         }
         val present = engines.associateBy { it.record.id }
         seats.entries.removeIf { (id, seat) -> present[id] !== seat.target }
-        seatOrders.keys.retainAll(seats.keys)
+        seatOrders.entries.removeIf { (id, orders) -> (id !in seats).also { orders.isRetired = it } }
         engines.forEach { engine ->
             if (engine.record.id !in seats) add(engine)
             seatOrders[engine.record.id]?.followRecord()
@@ -144,7 +148,16 @@
             seat.step = SeatStep(OrderKind.LOAD, load.model, loop.nowMillis(), check, load.endMillis)
         }
         seats[engine.record.id] = seat
-        seatOrders[engine.record.id] = SeatOrders(seat, loop, orders, own, term, recorder, this)
+        seatOrders[engine.record.id] = SeatOrders(
+            seat,
+            loop,
+            orders,
+            own,
+            term,
+            unanswered.getOrPut(engine.record.id) { UnansweredOrders(loop) },
+            recorder,
+            this,
+        )
     }
 
     private fun plan(
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SeatOrders.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SeatOrders.kt
@@ -19,16 +19,20 @@
     private val orders: OrderTransport,
     private val own: VmId,
     private val term: () -> Long?,
+    private val unanswered: UnansweredOrders,
     private val recorder: EventRecorder,
     private val listener: SeatListener,
 ) {
     private var profile: EngineProfile? = null
 
+    /** True once the engine is gone or has started anew: answers that are still to come lead to no further orders. */
+    var isRetired = false
+
     /** Gives the order that is due, if any. */
     fun advance(profile: EngineProfile) {
         this.profile = profile
         val now = loop.nowMillis()
-        if (seat.isCalling || now < seat.pausedUntilMillis) return
+        if (isRetired || seat.isCalling || now < seat.pausedUntilMillis) return
         val step = seat.step
         when {
             seat.acceptedOrders == null -> ask()
@@ -101,7 +105,12 @@
             busy(report, step)
         } else {
             seat.reported(report.models)
-            if (step != null) ended(step, report)
+            val isDone = step != null && (step.model in report.models) == (step.kind == OrderKind.LOAD)
+            if (step != null && isDone) finished(step)
+            if (step != null && !isDone) {
+                seat.step = null
+                seat.swap = null
+            }
         }
         listener.changed(seat)
         profile?.let(::advance)
@@ -119,12 +128,6 @@
         seat.reported(report.models - setOfNotNull(step?.model.takeIf { step?.kind == OrderKind.UNLOAD }))
     }
 
-    private fun ended(step: SeatStep, report: TargetReport) {
-        seat.step = null
-        val isDone = (step.model in report.models) == (step.kind == OrderKind.LOAD)
-        if (isDone) finished(step) else seat.swap = null
-    }
-
     private fun adapterStep(profile: EngineProfile) {
         val key = seat.wanted.first()
         val (model, adapter) = key
@@ -192,9 +195,16 @@
             return
         }
         val order = TargetOrder(kind, model, adapter, accepted, own, current)
+        if (!unanswered.leaveRoom(order, seat, profile)) {
+            notCarriedOut(order)
+            seat.pausedUntilMillis = loop.nowMillis() + STEP_CHECK_MILLIS
+            return
+        }
         seat.isCalling = true
-        orders.order(seat.target.record, order) { outcome ->
+        unanswered.sent(order)
+        orders.order(seat.target.record, order, { term() == current }) { outcome ->
             seat.isCalling = false
+            if (outcome != OrderOutcome.UNKNOWN) unanswered.answered(order)
             seat.lastWordMillis = loop.nowMillis()
             record(order, outcome)
             ordered(order, outcome)
@@ -219,8 +229,7 @@
             OrderOutcome.DONE -> done(order)
 
             else -> {
-                // Only a report tells what the engine holds now.
-                seat.acceptedOrders = null
+                notCarriedOut(order)
                 seat.pausedUntilMillis = loop.nowMillis() +
                     if (outcome == OrderOutcome.WRONG_TARGET) WRONG_TARGET_PAUSE_MILLIS else ORDER_RETRY_MILLIS
                 if (outcome == OrderOutcome.WRONG_TARGET) order.adapter?.let { seat.wanted -= order.model to it }
@@ -228,6 +237,13 @@
         }
     }
 
+    // Only a report tells what the engine holds now. An adapter counts as held until then: one that was to be dropped
+    // by an order that never arrived would otherwise be waited for without end.
+    private fun notCarriedOut(order: TargetOrder) {
+        seat.acceptedOrders = null
+        if (order.adapter != null) seat.leavingAdapters -= order.model to order.adapter
+    }
+
     private fun accepted(order: TargetOrder) {
         seat.acceptedOrders = order.acceptedOrders + 1
         when {
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/StoreFollower.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/StoreFollower.kt
@@ -3,6 +3,7 @@
 import dev.bergamotwind.api.EventRecorder
 import dev.bergamotwind.core.event
 import dev.bergamotwind.serving.ServingLoop
+import dev.bergamotwind.serving.StepGuard
 import kotlin.random.Random
 
 /**
@@ -22,6 +23,7 @@
      */
     private val pauseMillis: () -> Long = { 0 },
 ) {
+    private val guard = StepGuard(recorder)
     private val known = HashSet<String>()
     private var revision: Long? = null
     private var failures = 0
@@ -66,9 +68,9 @@
         known.clear()
         known += present
         revision = from
-        items.forEach(listener::written)
-        gone.forEach(listener::removed)
-        listener.caughtUp()
+        items.forEach(::written)
+        gone.forEach(::removed)
+        guard.run("caught up", listener::caughtUp)
         watch()
     }
 
@@ -105,13 +107,18 @@
         val item = change.item
         if (item != null) {
             known += change.key
-            listener.written(item)
+            written(item)
         } else {
             known -= change.key
-            listener.removed(change.key)
+            removed(change.key)
         }
     }
 
+    // An item that cannot be handled must not keep the VM from the changes that follow it.
+    private fun written(item: StoreItem) = guard.run("item ${item.key}") { listener.written(item) }
+
+    private fun removed(key: String) = guard.run("removal of $key") { listener.removed(key) }
+
     private fun contact() {
         if (failures > 0) {
             recorder.event("store.regained") {
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/VmLease.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/VmLease.kt
@@ -65,8 +65,8 @@
                     lease = granted
                     confirm(sentMillis, sentWallMillis)
                     recorder.event("lease.granted") { field("lease", granted.id) }
-                    onGranted?.invoke(granted.id)
                     scheduleRenewal()
+                    onGranted?.invoke(granted.id)
                 },
             )
         }
@@ -83,8 +83,8 @@
                 { failure -> renewalFailed(failure) },
                 {
                     confirm(sentMillis, sentWallMillis)
-                    onRenewed?.invoke()
                     scheduleRenewal()
+                    onRenewed?.invoke()
                 },
             )
         }
@@ -94,8 +94,8 @@
         if (failure == StoreFailure.MISSING) {
             lease = null
             recorder.event("lease.ended") { field("age_millis", loop.nowMillis() - confirmedMillis) }
-            onEnded?.invoke()
             grant()
+            onEnded?.invoke()
         } else {
             retry(::renew)
         }
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Fakes.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Fakes.kt
@@ -106,7 +106,12 @@
 
     override fun report(target: TargetRecord, reply: (TargetReport?) -> Unit) = reply(onReport(target))
 
-    override fun order(target: TargetRecord, order: TargetOrder, reply: (OrderOutcome) -> Unit) {
+    override fun order(
+        target: TargetRecord,
+        order: TargetOrder,
+        isPermitted: () -> Boolean,
+        reply: (OrderOutcome) -> Unit,
+    ) {
         given += order
         onOrder(target, order, reply)
     }
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/ServingVmSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/ServingVmSpec.kt
@@ -6,22 +6,28 @@
 import dev.bergamotwind.api.EventRecorder
 import dev.bergamotwind.api.ModelId
 import dev.bergamotwind.api.TargetId
+import dev.bergamotwind.api.VmId
 import dev.bergamotwind.serving.call.Call
 import dev.bergamotwind.serving.catalogue.RouteKind
 import dev.bergamotwind.serving.catalogue.ServedConfiguration
+import dev.bergamotwind.serving.peer.PeerMember
 import dev.bergamotwind.serving.store.StoreFailure
 import dev.bergamotwind.serving.store.StoreItem
 import dev.bergamotwind.serving.targets.TargetLifecycle
 import dev.bergamotwind.serving.targets.TargetRecord
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.cbor.Cbor
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
+import org.junit.jupiter.params.provider.ValueSource
 import kotlin.random.Random
 
 /** Guards the path of a request: what runs, how often, and what the caller is told, over every way a send can end. */
+@OptIn(ExperimentalSerializationApi::class)
 class ServingVmSpec {
     /** A VM with a store in memory, targets that the test answers, and time that the test moves. */
     private class World(private val configuration: ServedConfiguration?, records: List<TargetRecord>) {
@@ -177,6 +183,76 @@
         }
     }
 
+    data class PaceCase(val name: String, val bytes: (Int) -> String, val everyMillis: Long, val sends: Int) {
+        override fun toString() = name
+    }
+
+    @ParameterizedTest
+    @MethodSource("paces")
+    fun `a stream is given up when it stalls, and not when it is slow`(case: PaceCase) {
+        val route = Samples.route(RouteKind.STREAMING, isResumable = true, timeoutMillis = 60_000)
+        val world = World(Samples.configuration(route), listOf(Samples.record("t1"), Samples.record("t2")))
+        world.serve(Samples.call(deadlineMillis = 60_000))
+        val first = world.targets.sent[0]
+        first.head(200)
+        first.event(1)
+        repeat(8) { number ->
+            world.loop.advance(case.everyMillis)
+            first.listener.bytes(case.bytes(number).toByteArray())
+        }
+        assertEquals(case.sends, world.targets.sent.size)
+        assertEquals(case.sends > 1, first.isCancelled)
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = [0, 50])
+    fun `a statement that a request was not run counts although its body has no end`(everyMillis: Int) {
+        val world = World(
+            Samples.configuration(Samples.route(RouteKind.NON_IDEMPOTENT)),
+            listOf(Samples.record("t1"), Samples.record("t2")),
+        )
+        world.serve()
+        val first = world.targets.sent[0]
+        first.head(503, notRun = true)
+        repeat(10) {
+            if (everyMillis > 0 && !first.isCancelled) first.listener.bytes(ByteArray(1_000))
+            world.loop.advance(50)
+        }
+        assertTrue(first.isCancelled)
+        assertEquals(2, world.targets.sent.size)
+    }
+
+    @Test
+    fun `an item that cannot be handled does not keep later changes from a VM`() {
+        val route = Samples.route(RouteKind.IDEMPOTENT)
+        val world = World(Samples.configuration(route), listOf(Samples.record("t1")))
+        val member = PeerMember(VmId("vm-2"), "127.0.0.1", 99_999, Samples.domain, 1)
+        world.store.put(MEMBER_PREFIX + "vm-2", Cbor.encodeToByteArray(PeerMember.serializer(), member))
+        world.loop.advance(50)
+        world.configure(Samples.configuration(route, version = 2, teams = listOf(Samples.team(keys = setOf("other")))))
+        world.loop.advance(50)
+        assertEquals(401, world.serve().status)
+    }
+
+    @Test
+    fun `an unexpected error while orders are planned leaves a VM serving, and able to stop`() {
+        val route = Samples.route(RouteKind.STREAMING, Samples.engines)
+        val world = World(Samples.configuration(route), emptyList())
+        var asked = 0
+        world.orders.onReport = {
+            asked++
+            error("planned fault")
+        }
+        world.loop.advance(2_000)
+        world.register(Samples.record("e1", Samples.engines, mapOf("m1" to emptySet())))
+        world.loop.advance(5_000)
+        assertTrue(asked > 0)
+        var ended = false
+        world.vm.stop { ended = true }
+        world.loop.advance(8_000)
+        assertTrue(ended)
+    }
+
     @Test
     fun `the target stops work when the caller has left`() {
         val world = World(Samples.configuration(Samples.route(RouteKind.IDEMPOTENT)), listOf(Samples.record("t1")))
@@ -353,6 +429,14 @@
             EndingCase(name, kind.first, kind.second, end, outcome.first, outcome.second)
         }
 
+        // A pause may last 400 ms, and a silence of four pauses ends an attempt.
+        @JvmStatic
+        fun paces() = listOf(
+            PaceCase("an event each second", { "id: ${it + 2}\ndata: x\n\n" }, 1_000, 1),
+            PaceCase("a byte of an event now and then", { "x" }, 300, 2),
+            PaceCase("a comment line now and then", { ": x\n" }, 300, 2),
+        )
+
         // The model is expected in 2.5 seconds: a caller that leaves before is refused at once.
         @JvmStatic
         fun silences() = listOf(SilenceCase(2_000, 0), SilenceCase(3_000, 3_000))
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/PlacementManagerSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/PlacementManagerSpec.kt
@@ -39,6 +39,14 @@
 
         private fun leaving(model: ModelId) = inUse.filter { it.first == model }.map { it.second }
 
+        /** Starts again under the same id: empty, with its count of orders anew, while late orders are on their way. */
+        fun restart() {
+            models.clear()
+            inUse.clear()
+            accepted = 0
+            busyUntil = 0
+        }
+
         fun order(order: TargetOrder, reply: (OrderOutcome) -> Unit) {
             if (random.nextDouble() >= lossShare) {
                 reply(apply(order))
@@ -131,6 +139,66 @@
         }
     }
 
+    @Test
+    fun `never overfills an engine that starts again under its id while orders are unanswered`() {
+        for (seed in 1..200) {
+            val loop = ManualLoop()
+            val random = Random(seed)
+            val engine = Engine(loop, random, lossShare = 0.5)
+            val book = TargetBook(loop)
+            var start = 1L
+            fun record() = Samples.record("e1", Samples.engines, started = start).copy(
+                models = engine.models.mapValues { it.value.toSet() },
+                modelsOnDisk = listOf("m1", "m2", "m3").mapTo(HashSet(), ::ModelId),
+            )
+            engine.onChange = { book.apply(record()) }
+            book.apply(record())
+            val orders = FakeOrders().apply {
+                onReport = { engine.report() }
+                onOrder = { _, order, reply -> engine.order(order, reply) }
+            }
+            val manager = manager(loop, book, orders)
+            val configuration = Samples.configuration(Samples.route(RouteKind.STREAMING, Samples.engines))
+            repeat(300) { round ->
+                if (round % 25 == 24) {
+                    start++
+                    engine.restart()
+                    book.apply(record())
+                }
+                manager.wanted(use(random))
+                val demand = ModelId("m${random.nextInt(1, 4)}") to ModelDemand(2, 200)
+                manager.tick(configuration, mapOf(demand))
+                loop.advance(200)
+            }
+            assertEquals(null, engine.overfilled) { "seed $seed" }
+            assertTrue(orders.given.size > 30) { "only ${orders.given.size} orders with seed $seed" }
+        }
+    }
+
+    @Test
+    fun `an adapter whose drop never arrived makes room at a later try`() {
+        val loop = ManualLoop()
+        val book = TargetBook(loop)
+        val held = (1..ADAPTER_SLOTS).map { "a$it" }.toSet()
+        book.apply(Samples.record("e1", Samples.engines, mapOf("m1" to held)))
+        var isLost = true
+        val orders = FakeOrders().apply {
+            onReport = { TargetReport(it.models, false, 0) }
+            onOrder = { _, _, reply -> reply(if (isLost) OrderOutcome.UNKNOWN else OrderOutcome.DONE) }
+        }
+        val manager = manager(loop, book, orders)
+        val configuration = Samples.configuration(Samples.route(RouteKind.STREAMING, Samples.engines))
+        repeat(20) { round ->
+            manager.wanted(AdapterUse(TargetId("e1"), ModelId("m1"), AdapterId("new")))
+            manager.tick(configuration, emptyMap())
+            if (round == 2) isLost = false
+            loop.advance(200)
+        }
+        assertTrue(orders.given.any { it.kind == OrderKind.LOAD && it.adapter == AdapterId("new") }) {
+            "${orders.given}"
+        }
+    }
+
     @Test
     fun `asks an engine that another holder left busy until it is done`() {
         val loop = ManualLoop()
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/ClientConnection.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/ClientConnection.kt
@@ -26,6 +26,7 @@
     private var answerStarted = false
     private var reusable = false
     private var failure: String? = null
+    private var interimAnswers = 0
     private var idleSinceNanos = 0L
     private var statedIdleMillis: Long? = null
 
@@ -51,6 +52,11 @@
             channelContext == null || !channelContext.channel().isActive ->
                 started.notSent("the connection ended before the request was sent")
 
+            !started.request.mayLeave() -> {
+                close()
+                started.notSent("what permitted the request has ended")
+            }
+
             else -> write(channelContext, started)
         }
     }
@@ -89,6 +95,7 @@
         requestWritten = false
         answerStarted = false
         reusable = false
+        interimAnswers = 0
         val request = started.request
         val message = DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
@@ -115,7 +122,13 @@
             failure = "unreadable answer"
             return close()
         }
-        if (response.status().code() < FIRST_FINAL_STATUS) return
+        if (response.status().code() < FIRST_FINAL_STATUS) {
+            if (++interimAnswers > INTERIM_ANSWER_LIMIT) {
+                failure = "interim answers without end"
+                close()
+            }
+            return
+        }
         answerStarted = true
         reusable = HttpUtil.isKeepAlive(response) &&
             (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response))
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/OutgoingRequest.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/OutgoingRequest.kt
@@ -15,4 +15,9 @@
     public val connectTimeoutMillis: Int,
     /** Longest time in milliseconds that a kept connection may have been idle to be used for this request. */
     public val reuseIdleMillis: Long,
+    /**
+     * Asked right before the first byte leaves. A connection may take long to open, or the process may be suspended
+     * meanwhile, so that what permitted the request has ended; then it counts as not sent.
+     */
+    public val mayLeave: () -> Boolean = { true },
 )
--- a/bergamotwind-transport/src/test/kotlin/dev/bergamotwind/transport/HttpDialerSpec.kt
+++ b/bergamotwind-transport/src/test/kotlin/dev/bergamotwind/transport/HttpDialerSpec.kt
@@ -123,6 +123,41 @@
         }
     }
 
+    @Test
+    fun `blank bytes without end on a kept connection end it`() {
+        val ended = CompletableFuture<Boolean>()
+        val server = RawServer { connection ->
+            connection.request()
+            connection.send(OK)
+            ended.complete(runCatching { repeat(10_000) { connection.send(" ".repeat(10_000)) } }.isFailure)
+        }
+        server.use {
+            send(server.address).await()
+            assertTrue(ended.get(5, TimeUnit.SECONDS))
+        }
+    }
+
+    @Test
+    fun `a request whose permission ends while its connection opens does not leave`() {
+        val server = RawServer { connection ->
+            while (connection.request() != null) connection.send(OK)
+        }
+        server.use {
+            send(server.address).await()
+            // The second call finds a kept connection, the first one after it a new one.
+            repeat(2) {
+                var isPermitted = true
+                val answer = Answer()
+                loop.execute {
+                    dialer.send(server.address, request(mayLeave = { isPermitted }), answer)
+                    isPermitted = false
+                }
+                assertEquals("not sent", answer.await())
+            }
+            assertEquals(1, server.requests.size)
+        }
+    }
+
     @Test
     fun `an answer before the end of a long request ends the connection`() {
         val server = RawServer { connection ->
@@ -171,15 +206,20 @@
         }
     }
 
-    private fun request(body: ByteArray = ByteArray(3), path: String = "/a", reuseIdleMillis: Long = 5_000) =
-        OutgoingRequest(
-            "POST",
-            path,
-            listOf(Header("Host", "h"), Header("X-Double", "1"), Header("X-Double", "2")),
-            body,
-            1_000,
-            reuseIdleMillis,
-        )
+    private fun request(
+        body: ByteArray = ByteArray(3),
+        path: String = "/a",
+        reuseIdleMillis: Long = 5_000,
+        mayLeave: () -> Boolean = { true },
+    ) = OutgoingRequest(
+        "POST",
+        path,
+        listOf(Header("Host", "h"), Header("X-Double", "1"), Header("X-Double", "2")),
+        body,
+        1_000,
+        reuseIdleMillis,
+        mayLeave,
+    )
 
     private fun send(
         address: InetSocketAddress,
@@ -223,6 +263,22 @@
             case("closed before an answer", "broken") { it.close() },
             case("reset before an answer", "broken") { it.reset() },
             case("bytes that are no answer", "broken") { it.send("\u0001\u0002garbage\r\n\r\nmore\r\n") },
+            case("a status line without end", "broken") { it.sendWithoutEnd("HTTP/1.1 200 OK", "x".repeat(1_000)) },
+            case("a head without end", "broken") {
+                it.sendWithoutEnd("HTTP/1.1 200 OK\r\n", "X-Field: ${"x".repeat(1_000)}\r\n")
+            },
+            case("interim answers without end", "broken") {
+                it.sendWithoutEnd("", "HTTP/1.1 103 Early Hints\r\n\r\n")
+            },
+            case("a chunk size without end", "broken") {
+                it.sendWithoutEnd("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1".repeat(1_000))
+            },
+            case("trailers without end", "broken") {
+                it.sendWithoutEnd(
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                    "X-Field: ${"x".repeat(1_000)}\r\n",
+                )
+            },
             case("an interim answer first", "complete") { it.send("HTTP/1.1 103 Early Hints\r\n\r\n$OK") },
         )
     }
--- a/bergamotwind-transport/src/test/kotlin/dev/bergamotwind/transport/RawServer.kt
+++ b/bergamotwind-transport/src/test/kotlin/dev/bergamotwind/transport/RawServer.kt
@@ -51,6 +51,12 @@
         socket.getOutputStream().flush()
     }
 
+    /** Sends [start] and then [repeated] until the other side closes, with a bound for the test's own sake. */
+    fun sendWithoutEnd(start: String, repeated: String) {
+        send(start)
+        repeat(50_000) { send(repeated) }
+    }
+
     fun close() = socket.close()
 
     fun reset() {
