Archive the classes of the entry process at build time

Cause: 82 processes spend some 100 s of processor time on a start, and all start again after a loss of power, when callers wait.

Change: `rehearse-entry` runs an entry VM for a moment against a platform in the same process; the build archives the classes that it loaded.

--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/Main.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/Main.kt
@@ -2,6 +2,7 @@
 
 import com.github.ajalt.clikt.core.main
 import dev.bergamotwind.node.entry.EntryProcess
+import dev.bergamotwind.node.entry.EntryRehearsal
 
 /** Entry point of `bergamotwind-node`. */
 public fun main(arguments: Array<String>) {
@@ -10,6 +11,7 @@
         EntryProcess.run()
         return
     }
+    if (arguments.firstOrNull() == EntryRehearsal.COMMAND) return EntryRehearsal.run()
     // Chosen explicitly: io_uring must not be used, and NIO works on every machine.
     System.setProperty("com.linecorp.armeria.transportType", "nio")
     NodeCommand().main(arguments)
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/entry/EntryProcess.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/entry/EntryProcess.kt
@@ -110,9 +110,12 @@
             val name = PlatformSettings.PATH_VARIABLE
             val path = System.getenv(name)?.let(Path::of) ?: fail("$name is not set; let it name the settings file")
             val settings = PlatformSettings.read(path).fold({ fail(it) }, { it })
-            EntryProcess(path, settings).start()
+            start(path, settings)
         }
 
+        /** Starts a process with [settings], which were read from [path]. */
+        fun start(path: Path, settings: PlatformSettings): Unit = EntryProcess(path, settings).start()
+
         private fun fail(fault: String): Nothing {
             System.err.println("event=settings.unreadable fault=\"$fault\"")
             exitProcess(FAULTY_SETTINGS)
