Let the next holder of orders begin at once where its predecessor has told that it ended

VMs that give no orders also learned of the vacancy up to a second late.

Change: a holder whose lease can no longer be relied on, or that stops, ends its term for good and tells so in its beats, with the age of its last order to each engine. The next holder, which knows its immediate predecessor by the claim that both store items bear, waits only for the engines that had an order within the hand-over time. What a predecessor told goes on to the next one. Watches are not put off once the end of a term is known.

A holder that is frozen or loses power tells nothing; there the hand-over time still passes.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -71,7 +71,16 @@
     private val context = Context()
     private val expectedLoads = ExpectedLoads(loop)
     private val placement =
-        PlacementManager(loop, targets, ports.orders, settings.vm, { term.term }, expectedLoads, recorder)
+        PlacementManager(
+            loop,
+            targets,
+            ports.orders,
+            settings.vm,
+            { term.term },
+            term::readyMillis,
+            expectedLoads,
+            recorder,
+        )
     private val retries = HashMap<ServiceId, RetryAllowance>()
     private val runs = LinkedHashSet<CallRun>()
     private val usedAdapters = LinkedHashSet<AdapterUse>()
@@ -132,11 +141,12 @@
         shutdown.begin()
         wakeSoon()
         term.release {}
+        peers.send(currentBeat(), isUrgent = true)
     }
 
     private fun tick() {
         ticks++
-        if (peers.isBeatDue()) guard.run("beat") { beat(isUrgent = false) }
+        guard.run("beat", ::beatIfDue)
         if (ticks % TICKS_PER_PLAN == 0L) guard.run("plan", ::plan)
         if (ticks % TICKS_PER_SWEEP == 0L) {
             guard.run("sweep") {
@@ -215,11 +225,14 @@
         beatPlanned = true
         loop.schedule(EARLY_BEAT_MILLIS) {
             beatPlanned = false
-            if (peers.mayBeatEarly()) beat(isUrgent = true)
+            if (peers.mayBeatEarly()) peers.send(currentBeat(), isUrgent = true)
         }
     }
 
-    private fun beat(isUrgent: Boolean): Unit = peers.send(currentBeat(), isUrgent)
+    private fun beatIfDue() {
+        val isUrgent = term.endIfDoubtful()
+        if (isUrgent || peers.isBeatDue()) peers.send(currentBeat(), isUrgent)
+    }
 
     private fun currentBeat(): PeerBeat {
         val loads = targets.all.filter { it.attempts.isNotEmpty() }.associate { it.record.id to it.ownLoad() }
@@ -238,6 +251,7 @@
             holdings = placement.takeChanges(),
             expected = placement.expected(),
             levels = if (peers.hasRecentStart) context.rates.levels() else emptyMap(),
+            ended = term.ended(placement::orderAges),
         )
     }
 
@@ -329,6 +343,10 @@
         override fun heard(beat: PeerBeat) {
             context.rates.peerSpent(beat.vm, beat.incarnation, beat.spent, beat.levels)
             targets.peerReported(beat.vm, beat.loads)
+            beat.ended?.let { ended ->
+                term.heardEnd(ended)
+                if (term.needsChangesAtOnce) follower.endPause()
+            }
             if (beat.term >= highestTerm && beat.term > 0) {
                 highestTerm = beat.term
                 beat.holdings.forEach { targets.told(it.target, it.models) }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/PeerBeat.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/PeerBeat.kt
@@ -49,4 +49,7 @@
     /** Units that each team may still use, while a VM has just started. */
     @CborLabel(11)
     val levels: Map<TeamId, Double> = emptyMap(),
+    /** The term that the sender has ended lately, or null. */
+    @CborLabel(12)
+    val ended: EndedTerm? = null,
 )
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/Defaults.kt
@@ -60,6 +60,12 @@
 /** Ranks of candidates that are told apart, which bounds the wait in a large fleet. */
 internal const val CANDIDACY_RANKS = 6
 
+/** Milliseconds for which the end of a term is told beyond the hand-over time: some beats between regions. */
+internal const val ENDED_TERM_MARGIN_MILLIS = 1_000L
+
+/** Milliseconds until the removal of an ended term's item is tried again. */
+internal const val TERM_REMOVAL_RETRY_MILLIS = 500L
+
 /** Milliseconds after which a candidate looks whether there is a holder. */
 internal const val CANDIDACY_RETRY_MILLIS = 700L
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementManager.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementManager.kt
@@ -27,6 +27,8 @@
     private val orders: OrderTransport,
     private val own: VmId,
     private val term: () -> Long?,
+    /** Time before which an engine gets no order of this VM. */
+    private val readyMillis: (TargetId) -> Long,
     private val expectedLoads: ExpectedLoads,
     private val recorder: EventRecorder,
 ) : SeatListener {
@@ -35,6 +37,7 @@
 
     // Kept beyond a seat: an order that an engine left unanswered may outlive the engine's restart under the same id.
     private val unanswered = HashMap<TargetId, UnansweredOrders>()
+    private val lastOrderMillis = HashMap<TargetId, Long>()
     private val paces = HashMap<ServiceId, StoreLoadPace>()
     private val changed = LinkedHashSet<TargetId>()
     private var configuration: ServedConfiguration? = null
@@ -72,6 +75,13 @@
     fun millisUntil(model: ModelId): Long? =
         expected().filter { it.model == model }.minOfOrNull { it.millis.toLong().coerceAtLeast(0) }
 
+    /** Milliseconds since the last order to each engine that had one within [withinMillis]. */
+    fun orderAges(withinMillis: Long): Map<TargetId, Long> {
+        val now = loop.nowMillis()
+        lastOrderMillis.values.removeIf { now - it > withinMillis }
+        return lastOrderMillis.mapValues { now - it.value }
+    }
+
     /** A request at some VM waits for an adapter. */
     fun wanted(use: AdapterUse) {
         val seat = seats[use.target] ?: return
@@ -111,6 +121,10 @@
         book.told(seat.target.record.id, seat.holdings.models)
     }
 
+    override fun orderMayArrive(seat: EngineSeat) {
+        lastOrderMillis[seat.target.record.id] = loop.nowMillis()
+    }
+
     override fun storeLoadBegan(seat: EngineSeat): Unit = pace(seat.target.record.service).begin()
 
     private fun pace(service: ServiceId) = paces.getOrPut(service) { StoreLoadPace() }
@@ -143,6 +157,7 @@
 
     private fun add(engine: TargetState) {
         val seat = EngineSeat(engine).also { it.reported(engine.record.models) }
+        seat.pausedUntilMillis = readyMillis(engine.record.id)
         expectedLoads.at(engine.record.id)?.let { load ->
             val check = load.endMillis + STEP_CHECK_MILLIS
             seat.step = SeatStep(OrderKind.LOAD, load.model, loop.nowMillis(), check, load.endMillis)
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementTerm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementTerm.kt
@@ -1,8 +1,10 @@
 package dev.bergamotwind.serving.placement
 
 import dev.bergamotwind.api.EventRecorder
+import dev.bergamotwind.api.TargetId
 import dev.bergamotwind.core.event
 import dev.bergamotwind.serving.ServingLoop
+import dev.bergamotwind.serving.peer.EndedTerm
 import dev.bergamotwind.serving.store.FleetStore
 import dev.bergamotwind.serving.store.StoreItem
 import dev.bergamotwind.serving.store.StorePut
@@ -12,7 +14,8 @@
 
 /**
  * Which VM gives orders to engines: the one whose lease the holder item bears. Its revision of creation is the term.
- * A new holder waits for the hand-over time, in which orders of the one before may still arrive. A second item, which
+ * A new holder waits for the hand-over time, in which orders of the one before may still arrive, unless the one before
+ * has told that it gives no more; then it waits only for the engines that have just had one. A second item, which
  * no lease ends, names the last holder: a VM that was it before its restart goes on without that wait, and need not
  * wait for the end of its earlier lease either. Used on the serving loop.
  */
@@ -36,20 +39,101 @@
     private var attempting = false
     private var released = false
 
+    /** The last term that this VM has ended before the store did, or 0. */
+    private var endedTerm = 0L
+    private var endedMillis = 0L
+    private var isRemoving = false
+
+    private var endedClaim: Long? = null
+
+    /** The claim of the last holder under whose condition this VM became holder. */
+    private var predecessor: Long? = null
+    private var heardEnd: EndedTerm? = null
+    private var heardEndMillis = 0L
+    private var engineReadyMillis = emptyMap<TargetId, Long>()
+
     /** True when the last attempt was made on the knowledge that this VM was the last holder. */
     private var continuesOwnTerm = false
 
     /** Term of this VM as holder while it may give orders, or null. */
     public val term: Long?
         get() = itemTerm.takeIf {
-            !released && isHolder && lease.isValid && loop.nowMillis() >= firstOrderMillis
+            !released && it != endedTerm && isHolder && lease.isValid && loop.nowMillis() >= firstOrderMillis
         }
 
+    /**
+     * What the other VMs are told of a term that this VM has ended, while they may need to know; null otherwise.
+     * [orderAges] tells the milliseconds since the last order to each engine that had one within the given time.
+     */
+    internal fun ended(orderAges: (withinMillis: Long) -> Map<TargetId, Long>): EndedTerm? {
+        val now = loop.nowMillis()
+        val handOver = settings.handOverMillis
+        val claim = endedClaim
+        if (claim == null || now - endedMillis > handOver + ENDED_TERM_MARGIN_MILLIS) return null
+        // Engines that the predecessor had ordered last, and this VM has not been free to order.
+        val inherited = engineReadyMillis.filterValues { it > now }.mapValues { (_, ready) -> handOver - (ready - now) }
+        return EndedTerm(claim, inherited + orderAges(handOver))
+    }
+
+    /** Time before which the engine called [target] gets no order of this VM, as its predecessor has just given one. */
+    internal fun readyMillis(target: TargetId): Long = engineReadyMillis[target] ?: 0L
+
     /** True when this VM holds the term, also while it must not give orders yet. */
     private val isHolder: Boolean get() = holder != null && holder?.lease == lease.id
 
     /** True while what the store says must be known at once: by the holder, and by all when there is none. */
-    internal val needsChangesAtOnce: Boolean get() = holder == null || isHolder
+    internal val needsChangesAtOnce: Boolean
+        get() = holder == null || isHolder || heardEnd?.let { it.claim == holder?.claim } ?: false
+
+    /**
+     * Ends the term for good when its lease can no longer be relied on; true when it did. The other VMs are told so,
+     * and the next holder need not wait for engines that this one has left alone.
+     */
+    internal fun endIfDoubtful(): Boolean {
+        val isOrdering = isHolder && itemTerm != endedTerm && loop.nowMillis() >= firstOrderMillis
+        if (isOrdering && !lease.isValid) {
+            end()
+            return true
+        }
+        if (isHolder && itemTerm == endedTerm && lease.isValid) removeItem()
+        return false
+    }
+
+    /** Another VM tells that it has ended a term. */
+    internal fun heardEnd(end: EndedTerm) {
+        heardEnd = end
+        heardEndMillis = loop.nowMillis()
+        followPredecessor()
+    }
+
+    private fun end() {
+        endedTerm = itemTerm
+        endedClaim = holder?.claim
+        endedMillis = loop.nowMillis()
+        recorder.event("placement.term-ended") {
+            field("term", endedTerm)
+            field("lease_age_millis", lease.ageMillis)
+        }
+    }
+
+    private fun followPredecessor() {
+        val end = heardEnd ?: return
+        if (!isHolder || end.claim != predecessor || loop.nowMillis() >= firstOrderMillis) return
+        firstOrderMillis = loop.nowMillis()
+        engineReadyMillis = end.orderAges.mapValues { heardEndMillis + settings.handOverMillis - it.value }
+        recorder.event("placement.handed-over") {
+            field("term", itemTerm)
+            field("engines_to_wait_for", engineReadyMillis.size)
+        }
+    }
+
+    private fun removeItem(done: () -> Unit = {}) {
+        val held = holder
+        if (isRemoving || held == null) return done()
+        isRemoving = true
+        loop.schedule(TERM_REMOVAL_RETRY_MILLIS) { isRemoving = false }
+        store.write(StoreWrite(mapOf(HOLDER_KEY to held.revision), removes = listOf(HOLDER_KEY))) { done() }
+    }
 
     /** An item of this class has been read. */
     public fun written(item: StoreItem) {
@@ -70,10 +154,12 @@
         if (isHolder) {
             val wait = if (continuesOwnTerm || (settings.isFirstStart && !seenHolder)) 0 else settings.handOverMillis
             firstOrderMillis = loop.nowMillis() + wait
+            engineReadyMillis = emptyMap()
             recorder.event("placement.holder") {
                 field("term", itemTerm)
                 field("first_order_in_millis", wait)
             }
+            followPredecessor()
         } else if (item.isOwn) {
             // An earlier process of this VM was the holder; its lease has not ended yet.
             scheduleAttempt()
@@ -101,7 +187,10 @@
         loop.schedule(wait + rank * step + random.nextLong(step), ::attempt)
     }
 
-    private val StoreItem.isOwn: Boolean get() = value.decodeToString() == settings.own
+    /** Number that both items of one holder bear, and no other holder's. */
+    private val StoreItem.claim: Long? get() = value.decodeToString().substringAfterLast(CLAIM_MARK).toLongOrNull()
+
+    private val StoreItem.isOwn: Boolean get() = value.decodeToString().substringBeforeLast(CLAIM_MARK) == settings.own
 
     /** All items have been read once. */
     public fun caughtUp() {
@@ -110,10 +199,10 @@
 
     /** Gives the term up; [done] is called in any case. */
     public fun release(done: () -> Unit) {
-        val held = holder.takeIf { isHolder }
+        val isOrdering = term != null
         released = true
-        if (held == null) return done()
-        store.write(StoreWrite(mapOf(HOLDER_KEY to held.revision), removes = listOf(HOLDER_KEY))) { done() }
+        if (isOrdering) end()
+        if (isHolder) removeItem(done) else done()
     }
 
     private fun attempt() {
@@ -125,7 +214,8 @@
         // Under the condition on the last holder's item nobody can have been the holder in between.
         val expected = mapOf(HOLDER_KEY to (holder?.revision ?: 0L), LAST_HOLDER_KEY to (lastHolder?.revision ?: 0L))
         continuesOwnTerm = lastHolder?.isOwn == true
-        val name = settings.own.toByteArray()
+        predecessor = lastHolder?.claim
+        val name = (settings.own + CLAIM_MARK + random.nextLong()).toByteArray()
         val puts = listOf(StorePut(HOLDER_KEY, name, held), StorePut(LAST_HOLDER_KEY, name, lease = 0))
         // Whatever the answer, the watch tells who is the holder; only an open place needs another attempt.
         store.write(StoreWrite(expected, puts)) { retryLater() }
@@ -145,6 +235,7 @@
     public companion object {
         /** Beginning of the keys of this class's items. */
         public const val KEY_PREFIX: String = "bergamotwind/placement/"
+        private const val CLAIM_MARK = '#'
         internal const val HOLDER_KEY: String = KEY_PREFIX + "holder"
         internal const val LAST_HOLDER_KEY: String = KEY_PREFIX + "last-holder"
     }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SeatListener.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SeatListener.kt
@@ -5,6 +5,9 @@
     /** What the engine holds may have changed. */
     fun changed(seat: EngineSeat)
 
+    /** An order has just left for the engine, or may have reached it since. */
+    fun orderMayArrive(seat: EngineSeat)
+
     /** A load from the weight store begins. */
     fun storeLoadBegan(seat: EngineSeat)
 }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SeatOrders.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SeatOrders.kt
@@ -202,9 +202,11 @@
         }
         seat.isCalling = true
         unanswered.sent(order)
+        listener.orderMayArrive(seat)
         orders.order(seat.target.record, order, { term() == current }) { outcome ->
             seat.isCalling = false
             if (outcome != OrderOutcome.UNKNOWN) unanswered.answered(order)
+            listener.orderMayArrive(seat)
             seat.lastWordMillis = loop.nowMillis()
             record(order, outcome)
             ordered(order, outcome)
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/StoreFollower.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/StoreFollower.kt
@@ -28,6 +28,7 @@
     private var revision: Long? = null
     private var failures = 0
     private var stopped = false
+    private var isPausing = false
     private var cancelWatch: () -> Unit = {}
     private var watchedMillis: Long? = null
     private var contactMillis: Long? = null
@@ -37,6 +38,14 @@
         contactMillis = loop.nowMillis()
     }
 
+    /** Begins the next watch at once if it is still put off. */
+    public fun endPause() {
+        if (!isPausing) return
+        cancelWatch()
+        isPausing = false
+        watchNow()
+    }
+
     /** Starts following. */
     public fun start(): Unit = read()
 
@@ -76,11 +85,13 @@
 
     private fun watch() {
         val wait = watchedMillis?.let { it + pauseMillis() - loop.nowMillis() } ?: 0
+        isPausing = wait > 0
         if (wait > 0) cancelWatch = loop.schedule(wait, ::watchNow) else watchNow()
     }
 
     private fun watchNow() {
         val after = revision
+        isPausing = false
         if (stopped || after == null) return
         watchedMillis = loop.nowMillis()
         cancelWatch = store.watch(prefix, after, WATCH_WAIT_MILLIS) { result ->
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/PlacementManagerSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/PlacementManagerSpec.kt
@@ -342,7 +342,7 @@
         orders: FakeOrders,
         told: ExpectedLoads = ExpectedLoads(loop),
         term: () -> Long? = { 9 },
-    ) = PlacementManager(loop, book, orders, VmId("vm"), term, told, EventRecorder.None)
+    ) = PlacementManager(loop, book, orders, VmId("vm"), term, { 0L }, told, EventRecorder.None)
 
     private fun use(random: Random) =
         AdapterUse(TargetId("e1"), ModelId("m${random.nextInt(1, 3)}"), AdapterId("a${random.nextInt(20)}"))
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/store/PlacementTermSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/store/PlacementTermSpec.kt
@@ -1,8 +1,10 @@
 package dev.bergamotwind.serving.store
 
 import dev.bergamotwind.api.EventRecorder
+import dev.bergamotwind.api.TargetId
 import dev.bergamotwind.serving.FakeStore
 import dev.bergamotwind.serving.ManualLoop
+import dev.bergamotwind.serving.peer.EndedTerm
 import dev.bergamotwind.serving.placement.PlacementTerm
 import dev.bergamotwind.serving.placement.TermSettings
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -174,7 +176,81 @@
         assertEquals(listOf(false, false, true), vms.map { it.term.term != null })
     }
 
+    data class EndCase(
+        val name: String,
+        val ages: Map<String, Long>,
+        val ofTerm: Long,
+        val isOrdering: Boolean,
+        val waits: Boolean,
+    ) {
+        override fun toString() = name
+    }
+
+    @ParameterizedTest
+    @MethodSource("ends")
+    fun `the next holder waits only for what its predecessor may still have done`(case: EndCase) {
+        val loop = ManualLoop()
+        val store = FakeStore(loop)
+        val first = Vm("vm-1", loop, store, Random(1)).also(Vm::start)
+        loop.advance(500)
+        val next = Vm("vm-2", loop, store, Random(2), isFirstStart = false).also(Vm::start)
+        loop.advance(2_500)
+        val term = first.term.term!!
+        first.term.release {}
+        val told = first.term.ended { case.ages.mapKeys { (name, _) -> TargetId(name) } }!!
+        next.term.heardEnd(EndedTerm(told.claim + case.ofTerm, told.orderAges))
+        loop.advance(500)
+        assertEquals(case.isOrdering, next.term.term != null)
+        assertTrue((next.term.term ?: Long.MAX_VALUE) > term)
+        if (case.isOrdering) assertEquals(case.waits, next.term.readyMillis(TargetId("e1")) > loop.nowMillis())
+    }
+
+    @Test
+    fun `a holder that has ended its term gives no order under it although its lease is valid again`() {
+        val loop = ManualLoop()
+        val store = FakeStore(loop)
+        val vm = Vm("vm-1", loop, store, Random(1)).also(Vm::start)
+        loop.advance(500)
+        val before = vm.term.term!!
+        loop.suspendFor(LEASE_MILLIS)
+        assertTrue(vm.term.endIfDoubtful())
+        repeat(60) {
+            loop.advance(50)
+            vm.term.endIfDoubtful()
+            assertTrue(vm.term.term != before)
+        }
+        assertTrue(vm.lease.isValid)
+        assertTrue(vm.term.term!! > before) { "the VM did not become holder anew" }
+    }
+
+    @Test
+    fun `what a predecessor told goes on to the next holder`() {
+        val loop = ManualLoop()
+        val store = FakeStore(loop)
+        val vms = List(3) { Vm("vm-$it", loop, store, Random(it), isFirstStart = it == 0) }
+        vms[0].start()
+        loop.advance(500)
+        vms[1].start()
+        loop.advance(2_500)
+        vms[0].term.release {}
+        vms[1].term.heardEnd(vms[0].term.ended { mapOf(TargetId("e1") to 0L) }!!)
+        loop.advance(500)
+        assertTrue(vms[1].term.term != null)
+        vms[1].term.release {}
+        val told = vms[1].term.ended { emptyMap() }!!
+        assertTrue((told.orderAges[TargetId("e1")] ?: HAND_OVER_MILLIS) in 400..600) { "$told" }
+    }
+
     companion object {
+        @JvmStatic
+        fun ends() = listOf(
+            EndCase("nothing ordered lately", emptyMap(), 0, isOrdering = true, waits = false),
+            EndCase("an order just before", mapOf("e1" to 10L), 0, isOrdering = true, waits = true),
+            EndCase("another engine", mapOf("e2" to 10L), 0, isOrdering = true, waits = false),
+            EndCase("an order long before", mapOf("e1" to 3_000L), 0, isOrdering = true, waits = false),
+            EndCase("an earlier term", emptyMap(), -1, isOrdering = false, waits = true),
+        )
+
         private const val LEASE_MILLIS = 3_000L
         private const val HAND_OVER_MILLIS = 3_200L
 
