Ask only the holder of orders for an adapter

Cause: a VM whose requests wait for an adapter told all VMs at once, up to five times an interval, although only the holder of orders does something about it. On the grown sites that is the larger part of what VMs tell each other.

Change: such a beat goes to the holder only.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -95,6 +95,10 @@
     private var highestTerm = 0L
     private var ticks = 0L
     private var beatPlanned = false
+    private var wantPlanned = false
+
+    /** The VM that gave orders when it was last heard from, or null. */
+    private var holder: VmId? = null
     private var wakePlanned = false
     private var onEnd: () -> Unit = {}
 
@@ -141,7 +145,7 @@
         shutdown.begin()
         wakeSoon()
         term.release {}
-        peers.send(currentBeat(), isUrgent = true)
+        beat(isUrgent = true)
     }
 
     private fun tick() {
@@ -200,9 +204,11 @@
         loop.schedule(RELEASE_LIMIT_MILLIS, end)
     }
 
+    @OptIn(ExperimentalSerializationApi::class)
     private fun register(leaseId: Long) {
         val member = PeerMember(settings.vm, settings.host, settings.peerPort, settings.failureDomain, incarnation)
-        val put = StorePut(MEMBER_PREFIX + settings.vm, encodeMember(member), leaseId)
+        val put =
+            StorePut(MEMBER_PREFIX + settings.vm, Cbor.encodeToByteArray(PeerMember.serializer(), member), leaseId)
         ports.store.write(StoreWrite(puts = listOf(put))) { result ->
             if (result.isLeft()) {
                 loop.schedule(REGISTRATION_RETRY_MILLIS) { if (lease.id == leaseId) register(leaseId) }
@@ -225,13 +231,18 @@
         beatPlanned = true
         loop.schedule(EARLY_BEAT_MILLIS) {
             beatPlanned = false
-            if (peers.mayBeatEarly()) peers.send(currentBeat(), isUrgent = true)
+            if (peers.mayBeatEarly()) beat(isUrgent = true)
         }
     }
 
     private fun beatIfDue() {
         val isUrgent = term.endIfDoubtful()
-        if (isUrgent || peers.isBeatDue()) peers.send(currentBeat(), isUrgent)
+        if (isUrgent || peers.isBeatDue()) beat(isUrgent)
+    }
+
+    private fun beat(isUrgent: Boolean) {
+        peers.send(currentBeat(), isUrgent)
+        context.rates.told()
     }
 
     private fun currentBeat(): PeerBeat {
@@ -296,9 +307,6 @@
         wakeSoon()
     }
 
-    @OptIn(ExperimentalSerializationApi::class)
-    private fun encodeMember(member: PeerMember): ByteArray = Cbor.encodeToByteArray(PeerMember.serializer(), member)
-
     @OptIn(ExperimentalSerializationApi::class)
     private fun joined(item: StoreItem) {
         try {
@@ -344,11 +352,13 @@
             context.rates.peerSpent(beat.vm, beat.incarnation, beat.spent, beat.levels)
             targets.peerReported(beat.vm, beat.loads)
             beat.ended?.let { ended ->
+                if (holder == beat.vm) holder = null
                 term.heardEnd(ended)
                 if (term.needsChangesAtOnce) follower.endPause()
             }
             if (beat.term >= highestTerm && beat.term > 0) {
                 highestTerm = beat.term
+                holder = beat.vm
                 beat.holdings.forEach { targets.told(it.target, it.models) }
                 if (expectedLoads.told(beat.expected)) wakeSoon()
             }
@@ -395,7 +405,14 @@
 
         override fun wantAdapter(run: CallRun) {
             val use = run.adapterUse ?: return
-            if (term.term != null) placement.wanted(use) else beatSoon()
+            if (term.term != null) return placement.wanted(use)
+            if (wantPlanned) return
+            wantPlanned = true
+            // Only the holder of orders does something about it, so the others need not hear of it at once.
+            loop.schedule(EARLY_BEAT_MILLIS) {
+                wantPlanned = false
+                holder?.let { peers.sendTo(it, currentBeat()) }
+            }
         }
 
         override fun usedAdapter(run: CallRun) {
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/Peers.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/Peers.kt
@@ -71,13 +71,21 @@
         lastSentMillis = loop.nowMillis()
         val reachesFar = isUrgent || lastSentMillis - farSentMillis >= PEER_FAR_BEAT_MILLIS
         if (reachesFar) farSentMillis = lastSentMillis
-        val bytes = codec.encodeToByteArray(PeerBeat.serializer(), beat.copy(number = ++number))
+        val bytes = encode(beat)
         for (peer in states.values) {
             val address = peer.address ?: continue
             if (reachesFar || isNear(peer)) transport.send(address, bytes)
         }
     }
 
+    /** Sends [beat], numbered anew, to [vm] only; what the others need of it comes with the next beat to all. */
+    internal fun sendTo(vm: VmId, beat: PeerBeat) {
+        states[vm]?.address?.let { transport.send(it, encode(beat)) }
+    }
+
+    private fun encode(beat: PeerBeat): ByteArray =
+        codec.encodeToByteArray(PeerBeat.serializer(), beat.copy(number = ++number))
+
     private fun isNear(peer: PeerState): Boolean = peer.member?.let { isSameRegion(it.failureDomain) } ?: false
 
     /** True when the next beat is due; the interval grows with the number of VMs, which bounds what each receives. */
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/rate/FleetRates.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/rate/FleetRates.kt
@@ -51,10 +51,10 @@
     }
 
     /** Running totals of this VM, to be told to the others. */
-    public fun totals(): Map<TeamId, Double> {
-        untold.clear()
-        return rates.mapValues { it.value.spent }
-    }
+    public fun totals(): Map<TeamId, Double> = rates.mapValues { it.value.spent }
+
+    /** The running totals have been told to all VMs. */
+    public fun told(): Unit = untold.clear()
 
     /** What this VM believes each team may still use, to be told to VMs that have just started. */
     public fun levels(): Map<TeamId, Double> {
