Keep a holder waiting for what it was waiting for when it holds the term anew

Cause, found by reading the change: a VM that ended its term and became holder again forgot which engines its predecessor had just ordered, and a VM that lost its lease during the hand-over time became holder again without waiting for the rest of it. Both could bring orders of two holders to an engine within the time that the platform asks for.

Change: a VM that continues its own term keeps both waits. Unanswered orders of engines that are gone are forgotten, and a comment names its source.

Tests: two cases that fail before.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/Defaults.kt
@@ -102,7 +102,7 @@
 /** Milliseconds until an engine that did not answer is asked again. */
 internal const val REPORT_RETRY_MILLIS = 500L
 
-/** Milliseconds for which an unanswered order may still be carried out: twice the longest delay that was seen. */
+/** Milliseconds for which an unanswered order may still be carried out; delays of up to 12 s are known. */
 internal const val LATE_ORDER_MILLIS = 15_000L
 
 /** Milliseconds until a refused or unanswered order is followed up; reports lag by some hundred. */
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementManager.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementManager.kt
@@ -149,6 +149,7 @@
         val present = engines.associateBy { it.record.id }
         seats.entries.removeIf { (id, seat) -> present[id] !== seat.target }
         seatOrders.entries.removeIf { (id, orders) -> (id !in seats).also { orders.isRetired = it } }
+        unanswered.entries.removeIf { (id, orders) -> id !in seats && orders.isEmpty }
         engines.forEach { engine ->
             if (engine.record.id !in seats) add(engine)
             seatOrders[engine.record.id]?.followRecord()
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementTerm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementTerm.kt
@@ -39,13 +39,12 @@
     private var attempting = false
     private var released = false
 
-    /** The last term that this VM has ended before the store did, or 0. */
+    /** The last term that this VM has ended before the store did, or 0, and its claim. */
     private var endedTerm = 0L
+    private var endedClaim: Long? = null
     private var endedMillis = 0L
     private var isRemoving = false
 
-    private var endedClaim: Long? = null
-
     /** The claim of the last holder under whose condition this VM became holder. */
     private var predecessor: Long? = null
     private var heardEnd: EndedTerm? = null
@@ -152,9 +151,16 @@
         if (known?.lease == item.lease && itemTerm == item.createRevision) return
         itemTerm = item.createRevision
         if (isHolder) {
-            val wait = if (continuesOwnTerm || (settings.isFirstStart && !seenHolder)) 0 else settings.handOverMillis
+            val wait = when {
+                // What it was waiting for, or still avoids, when it held the term before goes on.
+                continuesOwnTerm -> (firstOrderMillis - loop.nowMillis()).coerceAtLeast(0)
+
+                settings.isFirstStart && !seenHolder -> 0
+
+                else -> settings.handOverMillis
+            }
             firstOrderMillis = loop.nowMillis() + wait
-            engineReadyMillis = emptyMap()
+            if (!continuesOwnTerm) engineReadyMillis = emptyMap()
             recorder.event("placement.holder") {
                 field("term", itemTerm)
                 field("first_order_in_millis", wait)
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/UnansweredOrders.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/UnansweredOrders.kt
@@ -15,6 +15,13 @@
     // An order is repeated as it was, so equal ones stand here side by side.
     private val sent = ArrayList<Sent>()
 
+    /** True when none is left that may still take effect. */
+    val isEmpty: Boolean
+        get() {
+            sent.removeIf { it.endMillis <= loop.nowMillis() }
+            return sent.isEmpty()
+        }
+
     /** [order] is on its way. */
     fun sent(order: TargetOrder) {
         sent += Sent(order, loop.nowMillis() + LATE_ORDER_MILLIS)
@@ -48,7 +55,7 @@
      * lets the one with the next number follow.
      */
     private fun fitFrom(acceptedOrders: Long, adapters: Int, freeMegabytes: Double, profile: EngineProfile): Boolean {
-        sent.removeIf { it.endMillis <= loop.nowMillis() }
+        if (isEmpty) return true
         var number = acceptedOrders
         var megabytes = 0.0
         var places = 0
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/store/PlacementTermSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/store/PlacementTermSpec.kt
@@ -223,6 +223,47 @@
         assertTrue(vm.term.term!! > before) { "the VM did not become holder anew" }
     }
 
+    @Test
+    fun `a holder that becomes it anew still leaves the engines alone that its predecessor had ordered`() {
+        val loop = ManualLoop()
+        val store = FakeStore(loop)
+        val first = Vm("vm-1", loop, store, Random(1)).also(Vm::start)
+        loop.advance(500)
+        val next = Vm("vm-2", loop, store, Random(2), isFirstStart = false).also(Vm::start)
+        loop.advance(2_500)
+        first.term.release {}
+        next.term.heardEnd(first.term.ended { mapOf(TargetId("e1") to 0L) }!!)
+        loop.advance(500)
+        val before = next.term.term!!
+        val ready = next.term.readyMillis(TargetId("e1"))
+        loop.suspendFor(LEASE_MILLIS)
+        assertTrue(next.term.endIfDoubtful())
+        repeat(40) {
+            loop.advance(50)
+            next.term.endIfDoubtful()
+        }
+        assertTrue(next.term.term!! > before)
+        assertEquals(ready, next.term.readyMillis(TargetId("e1")))
+    }
+
+    @Test
+    fun `a VM that loses its lease while it waits for the hand-over time goes on waiting`() {
+        val loop = ManualLoop()
+        val store = FakeStore(loop)
+        val killed = Vm("vm-1", loop, store, Random(1)).also(Vm::start)
+        loop.advance(500)
+        val other = Vm("vm-2", loop, store, Random(2), isFirstStart = false).also(Vm::start)
+        loop.advance(2_500)
+        killed.kill()
+        loop.advance(LEASE_MILLIS + 500)
+        store.expire(other.lease.id!!)
+        loop.advance(1_500)
+        assertTrue(other.lease.isValid)
+        assertEquals(null, other.term.term)
+        loop.advance(HAND_OVER_MILLIS)
+        assertTrue(other.term.term != null)
+    }
+
     @Test
     fun `what a predecessor told goes on to the next holder`() {
         val loop = ManualLoop()
