Keep the hand-over time across a restart of the VM that takes over

Change: the last holder's item says that its VM was still waiting; the mark is removed once the wait is over, for all engines. The next process of a VM whose item has the mark waits from the beginning. Ruled out: a wall time in the item, because the time of day of a VM may jump. Before: the new case of PlacementElectionSpec fails (a term at once after the restart). After: 23 cases pass, among them one that a VM killed after the wait still goes on at once.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementElection.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementElection.kt
@@ -17,7 +17,8 @@
  * store. The creation revision of that item is the term. A new holder waits for the hand-over time, in which orders of
  * its predecessor may still arrive, unless the predecessor has announced the end of its term; then it waits only for
  * the engines that had an order shortly before. A second item without a lease names the last holder: a VM that was the
- * holder before its restart skips that wait, and need not wait for its earlier lease to expire either. Used on the
+ * holder before its restart skips that wait, and need not wait for its earlier lease to expire either. That item also
+ * tells whether the last holder was still waiting itself; its next process then waits from the beginning. Used on the
  * serving loop.
  */
 public class PlacementElection(
@@ -55,6 +56,9 @@
     /** True when this VM was the last holder, as known at the latest attempt. */
     private var continuesOwnTerm = false
 
+    /** True once this process has held a term, so that it knows how long it still has to wait. */
+    private var hasHeldTerm = false
+
     /** Term of this VM while it is the holder and may send orders, or null. */
     public val term: Long?
         get() = holderTerm.takeIf {
@@ -157,21 +161,16 @@
         if (known?.lease == item.lease && holderTerm == item.createRevision) return
         holderTerm = item.createRevision
         if (isHolder) {
-            val wait = when {
-                // A wait that was running in the earlier term, for all engines or for single ones, continues.
-                continuesOwnTerm -> (firstOrderMillis - loop.nowMillis()).coerceAtLeast(0)
-
-                settings.isFirstStart && !hasSeenHolder -> 0
-
-                else -> settings.handOverMillis
-            }
+            val wait = firstOrderWaitMillis()
             firstOrderMillis = loop.nowMillis() + wait
             if (!continuesOwnTerm) engineEarliestOrderMillis = emptyMap()
+            hasHeldTerm = true
             recorder.event("placement.holder") {
                 field("term", holderTerm)
                 field("first_order_in_millis", wait)
             }
             startAfterPredecessorEnd()
+            scheduleWaitingMarkRemoval(holderTerm)
         } else if (item.isFromThisVm) {
             // An earlier process of this VM was the holder; its lease has not expired yet.
             scheduleAttempt()
@@ -179,6 +178,37 @@
         hasSeenHolder = true
     }
 
+    /** Milliseconds until this VM may send its first order if it becomes the holder now. */
+    private fun firstOrderWaitMillis(): Long = when {
+        // A wait that was running in the earlier term, for all engines or for single ones, continues.
+        continuesOwnTerm && hasHeldTerm -> (firstOrderMillis - loop.nowMillis()).coerceAtLeast(0)
+
+        continuesOwnTerm && lastHolder?.isWaiting != true -> 0
+
+        settings.isFirstStart && !hasSeenHolder -> 0
+
+        else -> settings.handOverMillis
+    }
+
+    /** Time at which this VM may send orders to all engines. */
+    private val waitEndMillis: Long get() = maxOf(firstOrderMillis, engineEarliestOrderMillis.values.maxOrNull() ?: 0)
+
+    // Without this write the next process of this VM only waits longer than necessary, so failures are harmless.
+    private fun scheduleWaitingMarkRemoval(heldTerm: Long) {
+        val delay = (waitEndMillis - loop.nowMillis()).coerceAtLeast(CANDIDACY_RETRY_MILLIS)
+        loop.schedule(delay) {
+            val held = holder
+            val last = lastHolder
+            val isCurrent = term == heldTerm && held != null && last != null && last.claimId == held.claimId
+            if (!isCurrent || !last.isWaiting) return@schedule
+            if (loop.nowMillis() < waitEndMillis) return@schedule scheduleWaitingMarkRemoval(heldTerm)
+            val expected = mapOf(HOLDER_KEY to held.revision, LAST_HOLDER_KEY to last.revision)
+            store.write(StoreWrite(expected, listOf(StorePut(LAST_HOLDER_KEY, held.value, lease = 0)))) { result ->
+                if (result.isLeft()) scheduleWaitingMarkRemoval(heldTerm)
+            }
+        }
+    }
+
     private fun onHolderRemoved() {
         isHolderKnown = true
         holder = null
@@ -205,7 +235,12 @@
     ).toLongOrNull()
 
     private val StoreItem.isFromThisVm: Boolean
-        get() = value.decodeToString().substringBeforeLast(CLAIM_SEPARATOR) == settings.identity
+        get() = value.decodeToString().substringBeforeLast(CLAIM_SEPARATOR).removeSuffix(WAITING_MARK) ==
+            settings.identity
+
+    /** True when the VM of this last holder's item still had to wait for its predecessor when it wrote the item. */
+    private val StoreItem.isWaiting: Boolean
+        get() = value.decodeToString().substringBeforeLast(CLAIM_SEPARATOR).endsWith(WAITING_MARK)
 
     /** Called when all items have been read once. */
     public fun onSynced() {
@@ -230,8 +265,13 @@
         val expected = mapOf(HOLDER_KEY to (holder?.revision ?: 0L), LAST_HOLDER_KEY to (lastHolder?.revision ?: 0L))
         continuesOwnTerm = lastHolder?.isFromThisVm == true
         predecessorClaimId = lastHolder?.claimId
-        val name = (settings.identity + CLAIM_SEPARATOR + random.nextLong()).toByteArray()
-        val puts = listOf(StorePut(HOLDER_KEY, name, held), StorePut(LAST_HOLDER_KEY, name, lease = 0))
+        val claim = "$CLAIM_SEPARATOR${random.nextLong()}"
+        val mustWait = firstOrderWaitMillis() > 0 || (continuesOwnTerm && waitEndMillis > loop.nowMillis())
+        val lastHolderName = settings.identity + (if (mustWait) WAITING_MARK else "") + claim
+        val puts = listOf(
+            StorePut(HOLDER_KEY, (settings.identity + claim).toByteArray(), held),
+            StorePut(LAST_HOLDER_KEY, lastHolderName.toByteArray(), lease = 0),
+        )
         // Whatever the answer, the watch shows who is the holder; another attempt is needed only when there is none.
         store.write(StoreWrite(expected, puts)) { retryLater() }
     }
@@ -251,6 +291,7 @@
         /** Prefix of the keys of the election's items. */
         public const val KEY_PREFIX: String = "bergamotwind/placement/"
         private const val CLAIM_SEPARATOR = '#'
+        private const val WAITING_MARK = "/waiting"
         internal const val HOLDER_KEY: String = KEY_PREFIX + "holder"
         internal const val LAST_HOLDER_KEY: String = KEY_PREFIX + "last-holder"
     }
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/store/PlacementElectionSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/store/PlacementElectionSpec.kt
@@ -275,6 +275,44 @@
         assertTrue(other.election.term != null)
     }
 
+    @Test
+    fun `a VM that is killed during the hand-over time waits again after its restart`() {
+        val loop = ManualLoop()
+        val store = FakeStore(loop)
+        val killed = Vm("vm-1", loop, store, Random(1)).also(Vm::start)
+        loop.advance(500)
+        val next = Vm("vm-2", loop, store, Random(2), isFirstStart = false).also(Vm::start)
+        loop.advance(500)
+        killed.kill()
+        loop.advance(LEASE_MILLIS + 500)
+        assertTrue(store.items.getValue(PlacementElection.HOLDER_KEY).value.decodeToString().startsWith("vm-2"))
+        next.kill()
+        loop.advance(300)
+        val restarted = Vm("vm-2", loop, store, Random(3), isFirstStart = false).also(Vm::start)
+        loop.advance(HAND_OVER_MILLIS)
+        assertEquals(null, restarted.election.term)
+        loop.advance(1_000)
+        assertTrue(restarted.election.term != null)
+    }
+
+    @Test
+    fun `a VM that is killed after the hand-over time goes on at once after its restart`() {
+        val loop = ManualLoop()
+        val store = FakeStore(loop)
+        val killed = Vm("vm-1", loop, store, Random(1)).also(Vm::start)
+        loop.advance(500)
+        val next = Vm("vm-2", loop, store, Random(2), isFirstStart = false).also(Vm::start)
+        loop.advance(500)
+        killed.kill()
+        loop.advance(LEASE_MILLIS + HAND_OVER_MILLIS + 2_000)
+        assertTrue(next.election.term != null)
+        next.kill()
+        loop.advance(300)
+        val restarted = Vm("vm-2", loop, store, Random(3), isFirstStart = false).also(Vm::start)
+        loop.advance(500)
+        assertTrue(restarted.election.term != null)
+    }
+
     @Test
     fun `a predecessor's order ages are passed on to the next holder`() {
         val loop = ManualLoop()
