--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/Main.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/Main.kt
@@ -8,10 +8,14 @@
 public fun main(arguments: Array<String>) {
     if (arguments.firstOrNull() == EntryProcess.COMMAND) {
         // An entry VM must be ready within seconds on a third of a core, so it skips loading the command-line parser.
+        EntryProcess.configureNetty()
         EntryProcess.run()
         return
     }
-    if (arguments.firstOrNull() == EntryRehearsal.COMMAND) return EntryRehearsal.run()
+    if (arguments.firstOrNull() == EntryRehearsal.COMMAND) {
+        EntryProcess.configureNetty()
+        return EntryRehearsal.run()
+    }
     // Set explicitly: io_uring must not be used, and NIO works on every machine.
     System.setProperty("com.linecorp.armeria.transportType", "nio")
     NodeCommand().main(arguments)
