Let calls wait for the first configuration of a VM that has just started

Change: such a call waits for the read that is in progress; at most 500 ms, and not when the store could not be read. Test: ServingVmSpec, "calls that arrive after the loss of all VMs are served as soon as the configuration has been read"; it needs the new state of the VM and does not compile before.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -351,6 +351,7 @@
         override fun onSynced() {
             isSynced = true
             election.onSynced()
+            scheduleWakeUp()
         }
 
         override fun onStoreRecovered(outageMillis: Long): Unit = targetListener.onStoreRecovered(outageMillis)
@@ -400,6 +401,7 @@
         override val random: Random get() = this@ServingVm.random
         override val recorder: EventRecorder get() = this@ServingVm.recorder
         override val configuration: ServedConfiguration? get() = this@ServingVm.configuration
+        override val isReadingConfiguration: Boolean get() = !isSynced && !storeWatcher.hasFailed
         override val picker =
             TargetPicker(targets, distance, ports.loop, this@ServingVm.random)
         override val transport: TargetTransport get() = ports.transport
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallHandler.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallHandler.kt
@@ -47,16 +47,19 @@
         if (context.refusesNewCalls) {
             return refuse(Refusal(RefusalKind.UNAVAILABLE, "the VM is stopping", SHUTDOWN_RETRY_AFTER_MILLIS))
         }
-        CallAuthorizer.authorize(context.configuration, call).fold(::refuse) { authorized ->
-            progress.route = authorized.route
-            progress.team = authorized.team
-            admit(authorized.route, authorized.team)
-        }
+        if (context.configuration == null && context.isReadingConfiguration) waitForConfiguration() else authorize()
     }
 
-    /** Retries the choice of a target after targets were added or their loaded models have changed. */
+    /**
+     * Retries the choice of a target after the first configuration has arrived, targets were added or their loaded
+     * models have changed.
+     */
     fun onTargetsChanged() {
-        if (!isFinished && activeAttempt == null) dispatch()
+        when {
+            isFinished || activeAttempt != null -> Unit
+            progress.route != null -> dispatch()
+            context.configuration != null || !context.isReadingConfiguration -> authorize()
+        }
     }
 
     /** Ends a call whose response has not begun, because the process is about to exit. */
@@ -64,6 +67,23 @@
         if (!isFinished && !relay.isStarted) onTimeout()
     }
 
+    // A VM that has just started reads its configuration within milliseconds, which is sooner than a caller's retry.
+    private fun waitForConfiguration() {
+        context.waitingCalls.add(this)
+        val limit = minOf(call.deadlineMillis ?: Long.MAX_VALUE, NO_CONFIGURATION_RETRY_MILLIS)
+        cancelWaitTimeout = loop.schedule(limit, ::authorize)
+    }
+
+    private fun authorize() {
+        cancelWaitTimeout()
+        context.waitingCalls.remove(this)
+        CallAuthorizer.authorize(context.configuration, call).fold(::refuse) { authorized ->
+            progress.route = authorized.route
+            progress.team = authorized.team
+            admit(authorized.route, authorized.team)
+        }
+    }
+
     private fun admit(route: ServedRoute, team: ServedTeam?) {
         val limit = minOf(call.deadlineMillis ?: Long.MAX_VALUE, route.timeoutMillis)
         progress.timeoutAtMillis = progress.startedMillis + limit
@@ -75,7 +95,7 @@
             }
             progress.admittedUnits = units
         }
-        cancelTimeout = loop.schedule(limit, ::onTimeout)
+        cancelTimeout = loop.schedule((progress.timeoutAtMillis - loop.nowMillis()).coerceAtLeast(0), ::onTimeout)
         route.service(progress.serviceFraction)?.let(context::recordRequest)
         call.modelRequest?.let { modelRequest ->
             progress.demandMillis = context.picker.processingTimes.engineMillis(modelRequest)
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ServingContext.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ServingContext.kt
@@ -15,6 +15,9 @@
     val random: Random
     val recorder: EventRecorder
     val configuration: ServedConfiguration?
+
+    /** True while the first read of the store is in progress and has not failed, so a configuration is due at once. */
+    val isReadingConfiguration: Boolean
     val picker: TargetPicker
     val transport: TargetTransport
     val rateLimiter: FleetRateLimiter
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/StoreWatcher.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/StoreWatcher.kt
@@ -34,6 +34,9 @@
     private var watchStartedMillis: Long? = null
     private var lastContactMillis: Long? = null
 
+    /** True when the latest call has failed and is being retried. */
+    internal val hasFailed: Boolean get() = failures > 0
+
     /** Records that the store has answered another call of this VM. */
     public fun recordContact() {
         lastContactMillis = loop.nowMillis()
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/ServingVmSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/ServingVmSpec.kt
@@ -33,7 +33,12 @@
 @OptIn(ExperimentalSerializationApi::class)
 class ServingVmSpec {
     /** A VM with an in-memory store, targets that the test answers, and a manual clock. */
-    private class TestVm(private val configuration: ServedConfiguration?, records: List<TargetRecord>) {
+    private class TestVm(
+        private val configuration: ServedConfiguration?,
+        records: List<TargetRecord>,
+        startupMillis: Long = 200,
+        storeFailure: StoreFailure? = null,
+    ) {
         val loop = ManualLoop()
         val store = FakeStore(loop)
         val targets = FakeTargets()
@@ -70,8 +75,9 @@
         init {
             configuration?.let(::configure)
             records.forEach(::register)
+            store.failure = storeFailure
             vm.start()
-            loop.advance(200)
+            loop.advance(startupMillis)
         }
 
         fun configure(configuration: ServedConfiguration) {
@@ -116,6 +122,27 @@
         assertEquals(testVm.targets.sent.size, testVm.targets.sent.map { it.target.id }.distinct().size)
     }
 
+    @Test
+    fun `calls that arrive after the loss of all VMs are served as soon as the configuration has been read`() {
+        val configuration = Samples.configuration(Samples.route(RouteKind.NON_IDEMPOTENT))
+        val testVm = TestVm(configuration, listOf(Samples.record("t1")), startupMillis = 0)
+        val exchange = testVm.serve()
+        assertEquals(null, exchange.status)
+        testVm.loop.advance(20)
+        assertEquals(1, testVm.targets.sent.size)
+        testVm.targets.sent[0].answer(200)
+        assertEquals(200, exchange.status)
+    }
+
+    @Test
+    fun `calls that arrive before the first configuration are refused when the store cannot be read`() {
+        val testVm = TestVm(null, emptyList(), startupMillis = 0, storeFailure = StoreFailure.REFUSED)
+        val early = testVm.serve()
+        testVm.loop.advance(600)
+        assertEquals(503, early.status)
+        assertEquals(503, testVm.serve().status)
+    }
+
     @Test
     fun `a non-idempotent call to a silent target times out at its deadline without a retry`() {
         val testVm =
