Weigh the unhandled work of a model by its share of the model's work

At 16.1 s the holder unloaded the only copy of the model that demand moved to, to load a further copy of the one it moved away from: a copy counted 550 ms of work whichever model it was, and the last copy even less by its own risk term. Change: what the copies of a model cannot handle is weighted by its share of the model's work. Test: SwapPlannerSpec, "demand moves to another model: its only copy is kept".

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SwapPlanner.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SwapPlanner.kt
@@ -80,15 +80,21 @@
         .maxByOrNull { (_, gain) -> gain }
         ?.let { (model, _) -> profile.models[model] }
 
-    /** Milliseconds of work a second that [copies] of a model cannot handle. */
+    /**
+     * Milliseconds of work a second that [copies] of a model cannot handle, weighted by their share of the model's work:
+     * the first copies of a model matter more than a further copy of one that is served for the most part.
+     */
     private fun unhandledWork(demand: ModelDemand?, copies: Int): Double {
         if (demand == null) return 0.0
+        val work = demand.workPerSecond.toDouble()
         // A single copy is lost with its engine, and the model would then be unavailable for the time of a whole load.
-        val workAtRisk = if (copies == 1) demand.workPerSecond * SINGLE_COPY_RISK_SHARE else 0.0
-        if (copies > 0) return max(0.0, demand.workPerSecond - copies * WORK_MILLIS_PER_COPY) + workAtRisk
-        val isRequested = demand.waiting > 0 || demand.workPerSecond >= MIN_ACTIVE_WORK
-        return demand.workPerSecond + demand.waiting * WORK_PER_WAITING_REQUEST +
-            if (isRequested) UNLOADED_MODEL_WORK else 0.0
+        val workAtRisk = if (copies == 1) work * SINGLE_COPY_RISK_SHARE else 0.0
+        if (copies > 0) {
+            val excess = max(0.0, work - copies * WORK_MILLIS_PER_COPY)
+            return (if (excess > 0) excess * excess / work else 0.0) + workAtRisk
+        }
+        val isRequested = demand.waiting > 0 || work >= MIN_ACTIVE_WORK
+        return work + demand.waiting * WORK_PER_WAITING_REQUEST + if (isRequested) UNLOADED_MODEL_WORK else 0.0
     }
 
     private fun gainOfAnotherCopy(demand: ModelDemand?, copies: Int): Double =
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/SwapPlannerSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/SwapPlannerSpec.kt
@@ -135,6 +135,13 @@
                 mapOf("m1" to ModelDemand(0, 200), "m2" to ModelDemand(0, 150), "m3" to ModelDemand(1, 10)),
                 emptySet(),
             ),
+            Case(
+                "demand moves to another model: its only copy is kept, although a hotter model wants a further copy",
+                listOf(engine("e1", "m1", "m3", onDisk = allModels, recentlyLoaded = setOf("m3"))) +
+                    List(3) { engine("busy-$it", "m2", availableInMillis = null) },
+                mapOf("m1" to ModelDemand(0, 2_000), "m2" to ModelDemand(0, 4_700), "m3" to ModelDemand(0, 900)),
+                emptySet(),
+            ),
             Case(
                 "a second copy of the only model in demand, although one can handle its work",
                 listOf(engine("e1", "m1"), engine("e2", "m2", onDisk = allModels)),
