Learn the engine time of prompts and generated tokens

Cause: the planner of swaps took a model for two to three times as busy as it was: cached parts of prompts counted as read, and each generated token as 0.35 ms of an engine. Change: the share of a prompt that engines have to read and the time of a slot for a token are learned by model; the constant is only the value before any observation. Test: ProcessingTimeEstimatorSpec, "does not take a model for busier than it is".

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallAttempt.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallAttempt.kt
@@ -179,7 +179,10 @@
         if (!isStream) context.picker.recordFirstByte(target, load, call.modelRequest)
         if (head.status >= FIRST_SERVER_ERROR) target.health.recordFailure(now)
         if (!relay.complete()) return fail("the stream ended within an event")
-        if (head.isSuccess) target.health.recordSuccess(now)
+        if (head.isSuccess) {
+            target.health.recordSuccess(now)
+            if (isStream) call.modelRequest?.let { context.picker.recordStreamEnd(target, load, it) }
+        }
         outcomeHandler.onAnswered(this, head.status)
     }
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ModelRequest.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ModelRequest.kt
@@ -14,7 +14,9 @@
     val outputEstimateTokens: Int?,
     val parts: List<PromptPart>,
 ) {
+    /** Tokens that are expected to be generated. */
+    val outputTokens: Int get() = outputEstimateTokens?.coerceAtMost(outputLimitTokens) ?: outputLimitTokens
+
     /** Tokens that the request is expected to occupy in an engine's memory when it ends. */
-    val memoryTokens: Int
-        get() = promptTokens + (outputEstimateTokens?.coerceAtMost(outputLimitTokens) ?: outputLimitTokens)
+    val memoryTokens: Int get() = promptTokens + outputTokens
 }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/Defaults.kt
@@ -105,5 +105,5 @@
 internal const val SAME_REGION_MILLIS = 4.0
 internal const val OTHER_REGION_MILLIS = 42.0
 
-/** Milliseconds of engine time for each generated token while many requests share the engine's steps. */
+/** Milliseconds of engine time for each generated token before any observation. */
 internal const val OUTPUT_TOKEN_MILLIS = 0.35
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/ProcessingTimeEstimator.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/ProcessingTimeEstimator.kt
@@ -8,7 +8,19 @@
 internal class ProcessingTimeEstimator {
     private class Estimate(var millisPerToken: Double, var observations: Int)
 
+    /** Moving average in which the first observations weigh more. */
+    private class MovingAverage(var value: Double) {
+        private var observations = 0
+
+        fun record(observed: Double) {
+            observations++
+            value += maxOf(PROCESSING_TIME_WEIGHT, 1.0 / (observations + 1)) * (observed - value)
+        }
+    }
+
     private val estimates = HashMap<ModelId, Estimate>()
+    private val prefilledShares = HashMap<ModelId, MovingAverage>()
+    private val outputTokenMillis = HashMap<ModelId, MovingAverage>()
     private val serviceMillis = HashMap<ServiceId, Double>()
 
     /** Learned prefill milliseconds for each prompt token, by model. */
@@ -16,9 +28,31 @@
 
     fun millisPerToken(model: ModelId): Double = estimates[model]?.millisPerToken ?: DEFAULT_MILLIS_PER_TOKEN
 
-    /** Milliseconds of engine time that [request] needs. */
-    fun engineMillis(request: ModelRequest): Double = request.promptTokens * millisPerToken(request.model) +
-        (request.memoryTokens - request.promptTokens) * OUTPUT_TOKEN_MILLIS
+    /**
+     * Milliseconds of engine time that [request] needs: the prefill of the part of its prompt that engines usually have
+     * not cached, and the share of an engine's slots that it occupies while its tokens are generated.
+     */
+    fun engineMillis(request: ModelRequest): Double {
+        val prefilledShare = prefilledShares[request.model]?.value ?: 1.0
+        val millisPerOutputToken = outputTokenMillis[request.model]?.value ?: OUTPUT_TOKEN_MILLIS
+        return request.promptTokens * prefilledShare * millisPerToken(request.model) +
+            request.outputTokens * millisPerOutputToken
+    }
+
+    /** Records that [request] was sent to an engine that has to spend [prefillMillis] on its prompt. */
+    fun recordPrefill(request: ModelRequest, prefillMillis: Double) {
+        val wholePrefillMillis = request.promptTokens * millisPerToken(request.model)
+        if (wholePrefillMillis <= 0) return
+        val share = (prefillMillis / wholePrefillMillis).coerceAtMost(1.0)
+        prefilledShares.getOrPut(request.model) { MovingAverage(1.0) }.record(share)
+    }
+
+    /** Records that the events of [request] arrived within [streamMillis] from an engine with [slots] slots. */
+    fun recordGeneration(request: ModelRequest, streamMillis: Double, slots: Int) {
+        if (request.outputTokens <= 0) return
+        val millis = streamMillis / slots.coerceAtLeast(1) / request.outputTokens
+        outputTokenMillis.getOrPut(request.model) { MovingAverage(OUTPUT_TOKEN_MILLIS) }.record(millis)
+    }
 
     fun serviceMillis(service: ServiceId): Double = serviceMillis[service] ?: DEFAULT_SERVICE_MILLIS
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetPicker.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetPicker.kt
@@ -44,7 +44,10 @@
     /** Records that a request was sent to the chosen target; the result is passed to [recordEnd]. */
     fun recordSent(choice: TargetChoice, request: ModelRequest?, priority: PriorityClass): AttemptLoad {
         val now = loop.nowMillis()
-        request?.let { choice.target.promptCache.recordSent(it) }
+        request?.let {
+            choice.target.promptCache.recordSent(it)
+            processingTimes.recordPrefill(it, choice.prefillMillis)
+        }
         return AttemptLoad(now, choice.predictedMillis, choice.prefillMillis, request?.memoryTokens ?: 0, priority)
             .also { choice.target.attempts += it }
     }
@@ -63,6 +66,12 @@
         }
     }
 
+    /** Records that the stream of a request to a model is complete. */
+    fun recordStreamEnd(target: TargetState, load: AttemptLoad, request: ModelRequest) {
+        val firstByteMillis = load.firstByteMillis ?: return
+        processingTimes.recordGeneration(request, (loop.nowMillis() - firstByteMillis).toDouble(), target.record.slots)
+    }
+
     /** Records that the attempt has ended. */
     fun recordEnd(target: TargetState, load: AttemptLoad) {
         target.attempts -= load
