--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/entry/EntryProcess.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/entry/EntryProcess.kt
@@ -24,7 +24,7 @@
 
 /** The process of an entry VM on the users' platform, from start to shutdown. */
 internal class EntryProcess private constructor(private val path: Path, private val settings: PlatformSettings) {
-    private val log = EventLog()
+    private val log = EventLog().also(LibraryMessages::recordTo)
     private val recorder = MetricsRecorder(log)
     private val loop = EventLoop()
     private val servingLoop = NettyServingLoop(loop)
@@ -105,9 +105,6 @@
         const val COMMAND = "entry"
         private const val READY = 200
         private const val NOT_READY = 503
-
-        /** Part of the ids of Netty's channels, which do not leave the process. */
-        private const val MACHINE_ID = "00:00:00:00:00:00:00:01"
         private const val INVALID_SETTINGS_EXIT_CODE = 1
 
         /** Runs the process until it is stopped. */
@@ -123,16 +120,6 @@
         /** Starts a process with [settings], which were read from [path]. */
         fun start(path: Path, settings: PlatformSettings): Unit = EntryProcess(path, settings).start()
 
-        /**
-         * Switches off what Netty prepares at its start and an entry VM does not use: events for the flight recorder,
-         * and an identity from the network interfaces. Must be called before the first use of Netty.
-         */
-        fun configureNetty() {
-            System.setProperty("io.netty.jfr.enabled", "false")
-            System.setProperty("io.netty.machineId", MACHINE_ID)
-            System.setProperty("io.netty.leakDetection.level", "disabled")
-        }
-
         private fun exitWithInvalidSettings(fault: String): Nothing {
             System.err.println("event=settings.unreadable fault=\"$fault\"")
             exitProcess(INVALID_SETTINGS_EXIT_CODE)
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallEventRecorder.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallEventRecorder.kt
@@ -20,6 +20,11 @@
             field("adapter", call.modelRequest?.adapter)
             field("millis", context.loop.nowMillis() - progress.startedMillis)
             field("deadline_millis", call.deadlineMillis)
+            field("units", progress.requestedUnits.toLong())
+            if (refusal?.kind == RefusalKind.RATE_EXCEEDED) {
+                field("units_left", progress.team?.let { context.rateLimiter.level(it.id)?.toLong() })
+                field("heard_share", "%.2f".format(context.rateLimiter.heardShare))
+            }
             field("sends", progress.sends)
             field("last_failure", progress.lastFailure)
             field("configuration", context.configuration?.version)
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallHandler.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallHandler.kt
@@ -89,6 +89,7 @@
         progress.timeoutAtMillis = progress.startedMillis + limit
         if (team != null) {
             val units = CallAuthorizer.rateUnits(call, team)
+            progress.requestedUnits = units
             val retryAfter = context.rateLimiter.admit(team, units)
             if (retryAfter != null) {
                 return refuse(Refusal(RefusalKind.RATE_EXCEEDED, "team ${team.id} has used its rate", retryAfter))
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
@@ -22,6 +22,9 @@
     var team: ServedTeam? = null
     var service: ServedService? = null
 
+    /** Units of the team's rate that the call asked for. */
+    var requestedUnits = 0.0
+
     /** Units of the team's rate that the call was admitted for. */
     var admittedUnits = 0.0
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/rate/FleetRateLimiter.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/rate/FleetRateLimiter.kt
@@ -45,6 +45,12 @@
         return null
     }
 
+    /** Units that [team] may use now according to this VM, or null when its rate is not limited. */
+    internal fun level(team: TeamId): Double? = buckets[team]?.level
+
+    /** Share of all VMs whose use of the rates is known to this VM, itself included. */
+    internal val heardShare: Double get() = reachableShare()
+
     /** Returns [units] to the bucket of [team] that were admitted for a request that certainly did not run. */
     public fun refund(team: TeamId, units: Double) {
         buckets[team]?.refund(units)
