Load a model that is asked for in vain within a bound

Change: a model that has been asked for while no engine holds or loads it for 3 s is loaded before all others. Test: PlacementManagerSpec, "every model that is asked for is loaded within a bound although two hot ones want all engines"; its demand of 2 ms a second gains 2 of the 25 that a swap needs, so it was never loaded.

--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/entry/LibraryDefaults.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/entry/LibraryDefaults.kt
@@ -1,9 +1,9 @@
 package dev.bergamotwind.node.entry
 
-import io.micrometer.common.util.internal.logging.InternalLoggerFactory as MicrometerLoggerFactory
-import io.micrometer.common.util.internal.logging.JdkLoggerFactory as MicrometerJdkLoggerFactory
 import io.netty.util.internal.logging.InternalLoggerFactory
 import io.netty.util.internal.logging.JdkLoggerFactory
+import io.micrometer.common.util.internal.logging.InternalLoggerFactory as MicrometerLoggerFactory
+import io.micrometer.common.util.internal.logging.JdkLoggerFactory as MicrometerJdkLoggerFactory
 
 /**
  * Defaults of the libraries in an entry VM. After a power failure all callers wait for the start of its process, so
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementManager.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementManager.kt
@@ -40,6 +40,7 @@
     private val unansweredOrders = HashMap<TargetId, UnansweredOrders>()
     private val lastOrderMillis = HashMap<TargetId, Long>()
     private val storeLoadLimiters = HashMap<ServiceId, StoreLoadLimiter>()
+    private val unservedModels = HashMap<ServiceId, UnservedModels>()
     private val changedEngines = LinkedHashSet<TargetId>()
     private var configuration: ServedConfiguration? = null
     private var lastTerm: Long? = null
@@ -144,6 +145,7 @@
         dispatchers.clear()
         changedEngines.clear()
         storeLoadLimiters.clear()
+        unservedModels.clear()
     }
 
     private fun syncEngines(configuration: ServedConfiguration) {
@@ -190,7 +192,10 @@
         val now = loop.nowMillis()
         serviceEngines.forEach { it.discardStaleSwap(now) }
         val storeLoads = storeLoadLimiter(service).availableLoads(now, profile.storeLoadsPerSecond)
-        for (swap in SwapPlanner(profile).plan(serviceEngines.map { it.snapshot(profile, now) }, demand, storeLoads)) {
+        val snapshots = serviceEngines.map { it.snapshot(profile, now) }
+        val serviceDemand = demand.filterKeys { it in profile.models }
+        val overdue = unservedModels.getOrPut(service) { UnservedModels() }.update(snapshots, serviceDemand, now)
+        for (swap in SwapPlanner(profile, overdue).plan(snapshots, serviceDemand, storeLoads)) {
             val engine = engines[swap.target] ?: continue
             recorder.event("placement.swap") {
                 field("target", swap.target)
@@ -200,6 +205,7 @@
                 field("work_per_second", demand[swap.modelToLoad]?.workPerSecond)
                 field("load_millis", swap.loadMillis)
                 field("from_store", swap.isFromStore)
+                field("overdue", swap.modelToLoad in overdue)
             }
             engine.planSwap(swap, now)
             dispatchers[swap.target]?.sendNextOrder(profile)
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SwapPlanner.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SwapPlanner.kt
@@ -13,7 +13,14 @@
  * loss and the shortest load. Work of waiting requests counts more, as those miss their deadlines first. Has no state
  * and no side effects.
  */
-internal class SwapPlanner(private val profile: EngineProfile) {
+internal class SwapPlanner(
+    private val profile: EngineProfile,
+    /**
+     * Models that have been asked for in vain for so long that they are loaded before all others, whatever the models
+     * that are unloaded for them are worth.
+     */
+    private val overdue: Set<ModelId> = emptySet(),
+) {
     /**
      * Returns the swaps to start now, at most one for each engine; [storeLoads] loads may come from the weight store.
      */
@@ -26,8 +33,12 @@
         var model = modelWithHighestGain(demand, copies, handled)
         while (model != null && available.any { it.availableInMillis == 0L }) {
             val busy = engines.size - available.count { it.availableInMillis == 0L }
-            val minGain = minStoreLoadGain(busy.toDouble() / engines.size, model.id, copies)
-            val swap = bestSwap(available, model, demand, copies, if (storeLoadsLeft > 0) minGain else Double.MAX_VALUE)
+            val minGain = when {
+                storeLoadsLeft <= 0 -> Double.MAX_VALUE
+                model.id in overdue -> 0.0
+                else -> minStoreLoadGain(busy.toDouble() / engines.size, model.id, copies)
+            }
+            val swap = bestSwap(available, model, demand, copies, minGain)
             if (swap == null) {
                 handled += model.id
             } else if (swap.waitMillis > 0) {
@@ -64,8 +75,10 @@
         minStoreLoadGain: Double,
     ): Swap? {
         val gain = gainOfAnotherCopy(demand[model.id], copies.expected(model.id))
+        val isOverdue = model.id in overdue
         return available.mapNotNull { evaluateSwap(it, model, demand, copies) }
-            .filter { gain > it.loss * MIN_GAIN_TO_LOSS_RATIO && (!it.swap.isFromStore || gain > minStoreLoadGain) }
+            .filter { isOverdue || gain > it.loss * MIN_GAIN_TO_LOSS_RATIO }
+            .filter { !it.swap.isFromStore || gain > minStoreLoadGain }
             .minByOrNull { it.cost + gain * it.delayMillis / MILLIS_PER_SECOND }?.swap
     }
 
@@ -76,10 +89,12 @@
     ): ServedModel? = demand.entries
         .filter { (model, _) -> model !in handled && model in profile.models }
         .map { (model, value) -> model to gainOfAnotherCopy(value, copies.expected(model)) }
-        .filter { (_, gain) -> gain >= MIN_SWAP_GAIN }
-        .maxByOrNull { (_, gain) -> gain }
+        .filter { (model, gain) -> gain >= MIN_SWAP_GAIN || isOverdue(model, copies) }
+        .maxWithOrNull(compareBy({ (model, _) -> isOverdue(model, copies) }, { (_, gain) -> gain }))
         ?.let { (model, _) -> profile.models[model] }
 
+    private fun isOverdue(model: ModelId, copies: CopyCounts) = model in overdue && copies.expected(model) == 0
+
     /**
      * Milliseconds of work a second that [copies] of a model cannot handle, weighted by their share of the model's work:
      * the first copies of a model matter more than a further copy of one that is served for the most part.
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/PlacementManagerSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/PlacementManagerSpec.kt
@@ -341,6 +341,42 @@
         assertEquals(4_000L, manager.millisUntilLoaded(ModelId("m2")))
     }
 
+    @Test
+    fun `every model that is asked for is loaded within a bound although two hot ones want all engines`() {
+        val loop = ManualLoop()
+        val book = TargetRegistry(loop)
+        val engines = (1..4).associate { number ->
+            "e$number" to Engine(loop, Random(number), lossShare = 0.0).apply {
+                listOf("m1", "m2").forEach { models[ModelId(it)] = mutableSetOf() }
+            }
+        }
+        val onDisk = (1..4).mapTo(HashSet()) { ModelId("m$it") }
+        fun record(name: String) = Samples.record(name, Samples.engines).copy(
+            models = engines.getValue(name).models.mapValues { it.value.toSet() },
+            modelsOnDisk = onDisk,
+        )
+        engines.forEach { (name, engine) -> engine.onChange = { book.apply(record(name)) } }
+        engines.keys.forEach { book.apply(record(it)) }
+        val orders = FakeOrders().apply {
+            onReport = { engines.getValue(it.id.value).report() }
+            onOrder = { target, order, reply -> engines.getValue(target.id.value).order(order, reply) }
+        }
+        val manager = manager(loop, book, orders)
+        val configuration = Samples.configuration(Samples.route(RouteKind.STREAMING, Samples.engines))
+        val demand = mapOf("m1" to 4_000, "m2" to 4_000, "m3" to 2).map { (model, work) ->
+            ModelId(model) to ModelDemand(0, work)
+        }.toMap()
+        val loadMillis = Samples.model("m3").diskLoadMillis
+        val boundMillis = MAX_UNSERVED_MILLIS + BUSY_UNLOAD_MILLIS + loadMillis
+        repeat((boundMillis / 200).toInt()) {
+            manager.tick(configuration, demand)
+            loop.advance(200)
+        }
+        val held = engines.mapValues { it.value.models.keys }
+        assertTrue(held.values.any { ModelId("m3") in it }) { "$held" }
+        assertTrue(engines.values.all { it.overfillReport == null })
+    }
+
     private fun manager(
         loop: ManualLoop,
         book: TargetRegistry,
