--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/Defaults.kt
@@ -17,8 +17,8 @@
 /** Work in milliseconds a second added for a model that no engine holds, so that rarely used models are loaded too. */
 internal const val UNLOADED_MODEL_WORK = 30.0
 
-/** Milliseconds after which a model that is asked for in vain is loaded before all others: a caller's patience. */
-internal const val MAX_UNSERVED_MILLIS = 3_000L
+/** Times of its load from the weight store after which a model asked for in vain is loaded before all others. */
+internal const val UNSERVED_LOAD_TIMES = 2
 
 /** Minimum gain of a swap in milliseconds of work a second; a smaller gain does not justify disturbing an engine. */
 internal const val MIN_SWAP_GAIN = 25.0
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/UnservedModels.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/UnservedModels.kt
@@ -1,13 +1,14 @@
 package dev.bergamotwind.serving.placement
 
 import dev.bergamotwind.api.ModelId
+import dev.bergamotwind.serving.catalogue.EngineProfile
 import dev.bergamotwind.serving.peer.ModelDemand
 
 /**
  * Measures how long models have been asked for while no engine holds or loads them, so that a rarely used model is
  * served within a bound however busy the others are. Used on the serving loop.
  */
-internal class UnservedModels {
+internal class UnservedModels(private val profile: EngineProfile) {
     private val sinceMillis = HashMap<ModelId, Long>()
 
     /** Records the state at [nowMillis] and returns the models that have been asked for in vain beyond the bound. */
@@ -17,6 +18,10 @@
         val unserved = demand.filterValues { it.waiting > 0 || it.workPerSecond > 0 }.keys - served
         sinceMillis.keys.retainAll(unserved)
         unserved.forEach { sinceMillis.putIfAbsent(it, nowMillis) }
-        return sinceMillis.filterValues { nowMillis - it >= MAX_UNSERVED_MILLIS }.keys
+        return sinceMillis.filter { (model, since) -> nowMillis - since >= boundMillis(model) }.keys
     }
+
+    // Bound to the load time, because a model that takes long to load also keeps its engine from other loads for long.
+    private fun boundMillis(model: ModelId): Long =
+        UNSERVED_LOAD_TIMES * (profile.models[model]?.storeLoadMillis ?: 0L)
 }
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/PlacementManagerSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/PlacementManagerSpec.kt
@@ -366,8 +366,8 @@
         val demand = mapOf("m1" to 4_000, "m2" to 4_000, "m3" to 2).map { (model, work) ->
             ModelId(model) to ModelDemand(0, work)
         }.toMap()
-        val loadMillis = Samples.model("m3").diskLoadMillis
-        val boundMillis = MAX_UNSERVED_MILLIS + BUSY_UNLOAD_MILLIS + loadMillis
+        val size = Samples.model("m3")
+        val boundMillis = UNSERVED_LOAD_TIMES * size.storeLoadMillis + BUSY_UNLOAD_MILLIS + size.diskLoadMillis
         repeat((boundMillis / 200).toInt()) {
             manager.tick(configuration, demand)
             loop.advance(200)
