--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementManager.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementManager.kt
@@ -194,7 +194,9 @@
         val storeLoads = storeLoadLimiter(service).availableLoads(now, profile.storeLoadsPerSecond)
         val snapshots = serviceEngines.map { it.snapshot(profile, now) }
         val serviceDemand = demand.filterKeys { it in profile.models }
-        val overdue = unservedModels.getOrPut(service) { UnservedModels(profile) }.update(snapshots, serviceDemand, now)
+        val overdue = unservedModels.getOrPut(service) {
+            UnservedModels()
+        }.update(profile, snapshots, serviceDemand, now)
         for (swap in SwapPlanner(profile, overdue).plan(snapshots, serviceDemand, storeLoads)) {
             val engine = engines[swap.target] ?: continue
             recorder.event("placement.swap") {
