Check the bound for unserved models at every step

The rare model may give way to the hot ones again after it has served its callers, so the case looks at every step whether it was loaded within the bound, not at the end.

--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/PlacementManagerSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/PlacementManagerSpec.kt
@@ -368,12 +368,13 @@
         }.toMap()
         val size = Samples.model("m3")
         val boundMillis = UNSERVED_LOAD_TIMES * size.storeLoadMillis + BUSY_UNLOAD_MILLIS + size.diskLoadMillis
-        repeat((boundMillis / 200).toInt()) {
+        // The rare model may give way again to the hot ones once it has served its callers.
+        val isLoaded = (1..boundMillis / 200).map {
             manager.tick(configuration, demand)
             loop.advance(200)
+            engines.values.any { engine -> ModelId("m3") in engine.models }
         }
-        val held = engines.mapValues { it.value.models.keys }
-        assertTrue(held.values.any { ModelId("m3") in it }) { "$held" }
+        assertTrue(true in isLoaded) { "not loaded within $boundMillis ms" }
         assertTrue(engines.values.all { it.overfillReport == null })
     }
 
