--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallHandler.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallHandler.kt
@@ -47,7 +47,11 @@
         if (context.refusesNewCalls) {
             return refuse(Refusal(RefusalKind.UNAVAILABLE, "the VM is stopping", SHUTDOWN_RETRY_AFTER_MILLIS))
         }
-        if (context.configuration == null && context.isReadingConfiguration) waitForConfiguration() else authorize()
+        if (context.configuration != null || !context.isReadingConfiguration) return admit()
+        // A VM that has just started reads its configuration within milliseconds, which is sooner than a retry.
+        context.waitingCalls.add(this)
+        val limit = minOf(call.deadlineMillis ?: Long.MAX_VALUE, NO_CONFIGURATION_RETRY_MILLIS)
+        cancelWaitTimeout = loop.schedule(limit, ::admit)
     }
 
     /**
@@ -58,7 +62,7 @@
         when {
             isFinished || activeAttempt != null -> Unit
             progress.route != null -> dispatch()
-            context.configuration != null || !context.isReadingConfiguration -> authorize()
+            context.configuration != null || !context.isReadingConfiguration -> admit()
         }
     }
 
@@ -67,24 +71,14 @@
         if (!isFinished && !relay.isStarted) onTimeout()
     }
 
-    // A VM that has just started reads its configuration within milliseconds, which is sooner than a caller's retry.
-    private fun waitForConfiguration() {
-        context.waitingCalls.add(this)
-        val limit = minOf(call.deadlineMillis ?: Long.MAX_VALUE, NO_CONFIGURATION_RETRY_MILLIS)
-        cancelWaitTimeout = loop.schedule(limit, ::authorize)
-    }
-
-    private fun authorize() {
+    private fun admit() {
         cancelWaitTimeout()
         context.waitingCalls.remove(this)
-        CallAuthorizer.authorize(context.configuration, call).fold(::refuse) { authorized ->
-            progress.route = authorized.route
-            progress.team = authorized.team
-            admit(authorized.route, authorized.team)
-        }
-    }
-
-    private fun admit(route: ServedRoute, team: ServedTeam?) {
+        val authorized = CallAuthorizer.authorize(context.configuration, call).fold({ return refuse(it) }, { it })
+        val route = authorized.route
+        val team = authorized.team
+        progress.route = route
+        progress.team = team
         val limit = minOf(call.deadlineMillis ?: Long.MAX_VALUE, route.timeoutMillis)
         progress.timeoutAtMillis = progress.startedMillis + limit
         if (team != null) {
@@ -100,7 +94,7 @@
         route.service(progress.serviceFraction)?.let(context::recordRequest)
         call.modelRequest?.let { modelRequest ->
             progress.demandMillis = context.picker.processingTimes.engineMillis(modelRequest)
-            context.demand.recordArrival(modelRequest.model, progress.demandMillis, progress.startedMillis)
+            context.demand.recordArrival(modelRequest.model, progress.demandMillis, loop.nowMillis())
         }
         dispatch()
     }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SwapPlanner.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/SwapPlanner.kt
@@ -96,8 +96,8 @@
     private fun isOverdue(model: ModelId, copies: CopyCounts) = model in overdue && copies.expected(model) == 0
 
     /**
-     * Milliseconds of work a second that [copies] of a model cannot handle, weighted by their share of the model's work:
-     * the first copies of a model matter more than a further copy of one that is served for the most part.
+     * Milliseconds of work a second that [copies] of a model cannot handle, weighted by their share of the model's
+     * work: the first copies of a model matter more than a further copy of one that is served for the most part.
      */
     private fun unhandledWork(demand: ModelDemand?, copies: Int): Double {
         if (demand == null) return 0.0
