Start a lost watch again once the store answers another call

Change: when a call of the lease succeeds after others failed, the watch is sent again and the outage is reported, so that entries that lapsed meanwhile have their time to return. Test: StoreWatcherSpec, "a configuration written after a silent outage of the store is seen although the watch was lost"; it fails without the call.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -122,6 +122,7 @@
         context.rateLimiter.onLargeUse = ::scheduleEarlyHeartbeat
         lease.onGranted = ::register
         lease.onRenewed = storeWatcher::recordContact
+        lease.onRecovered = storeWatcher::onStoreAnswersAgain
         storeWatcher.start()
         lease.start()
         tick()
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/StoreWatcher.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/StoreWatcher.kt
@@ -30,6 +30,7 @@
     private var failures = 0
     private var isStopped = false
     private var isPausing = false
+    private var isWatchPending = false
     private var cancelWatch: () -> Unit = {}
     private var watchStartedMillis: Long? = null
     private var lastContactMillis: Long? = null
@@ -50,6 +51,18 @@
         startWatch()
     }
 
+    /**
+     * Reports that the store has answered another call after an outage, and starts the pending watch again: the store
+     * may have lost it without closing its connection, and its time-out would delay changes for seconds.
+     */
+    public fun onStoreAnswersAgain() {
+        if (isStopped) return
+        listener.onStoreRecovered(lastContactMillis?.let { loop.nowMillis() - it } ?: 0)
+        if (!isWatchPending) return
+        cancelWatch()
+        startWatch()
+    }
+
     /** Starts watching. */
     public fun start(): Unit = readAll()
 
@@ -99,7 +112,9 @@
         isPausing = false
         if (isStopped || after == null) return
         watchStartedMillis = loop.nowMillis()
+        isWatchPending = true
         cancelWatch = store.watch(prefix, after, WATCH_TIMEOUT_MILLIS) { result ->
+            isWatchPending = false
             result.fold(::onWatchFailed) { changes ->
                 onContact()
                 changes.changes.forEach(::applyChange)
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/VmLease.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/VmLease.kt
@@ -32,6 +32,9 @@
     /** Called after each renewal. */
     public var onRenewed: (() -> Unit)? = null
 
+    /** Called when the store has answered a call after others had failed. */
+    public var onRecovered: (() -> Unit)? = null
+
     /** Id of the lease, or null. */
     public val id: Long? get() = lease?.id
 
@@ -104,7 +107,9 @@
     private fun recordConfirmation(sentMillis: Long, sentWallMillis: Long) {
         confirmedMillis = sentMillis
         confirmedWallMillis = sentWallMillis
+        val isRecovery = failures > 0
         failures = 0
+        if (isRecovery) onRecovered?.invoke()
     }
 
     private fun scheduleRenewal() {
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/store/StoreWatcherSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/store/StoreWatcherSpec.kt
@@ -13,10 +13,20 @@
  * time.
  */
 class StoreWatcherSpec {
+    /** A store that answers nothing while it is silent; a call made then is never answered. */
+    private class SilencedStore(private val store: FakeStore) : FleetStore by store {
+        var isSilent = false
+
+        override fun watch(prefix: String, after: Long, waitMillis: Long, reply: StoreReply<StoreChanges>): () -> Unit =
+            if (isSilent) ({}) else store.watch(prefix, after, waitMillis) { if (!isSilent) reply(it) }
+    }
+
     private class Fixture(var pauseMillis: Long) {
         val loop = ManualLoop()
         val store = FakeStore(loop)
+        val silencedStore = SilencedStore(store)
         val seenAtMillis = HashMap<String, Long>()
+        var reportedOutageMillis = 0L
         private val listener = object : StoreListener {
             override fun onItemWritten(item: StoreItem) {
                 seenAtMillis[item.value.decodeToString()] = loop.nowMillis()
@@ -26,9 +36,15 @@
 
             override fun onSynced() = Unit
 
-            override fun onStoreRecovered(outageMillis: Long) = Unit
+            override fun onStoreRecovered(outageMillis: Long) {
+                reportedOutageMillis = maxOf(reportedOutageMillis, outageMillis)
+            }
+        }
+        val watcher = StoreWatcher(silencedStore, loop, "", Random(1), EventRecorder.None, listener) { pauseMillis }
+        val lease = VmLease(silencedStore, loop, timeToLiveMillis = 2_000, Random(1), EventRecorder.None).also {
+            it.onRenewed = watcher::recordContact
+            it.onRecovered = watcher::onStoreAnswersAgain
         }
-        val watcher = StoreWatcher(store, loop, "", Random(1), EventRecorder.None, listener) { pauseMillis }
     }
 
     @Test
@@ -62,4 +78,25 @@
         fixture.loop.advance(5)
         assertEquals(setOf("1", "2"), fixture.seenAtMillis.keys)
     }
+
+    @Test
+    fun `a configuration written after a silent outage of the store is seen although the watch was lost`() {
+        val fixture = Fixture(pauseMillis = 0)
+        fixture.watcher.start()
+        fixture.lease.start()
+        fixture.loop.advance(1_000)
+        fixture.silencedStore.isSilent = true
+        fixture.store.failure = StoreFailure.UNKNOWN
+        fixture.store.failWatches()
+        fixture.store.put("a", "lost".toByteArray())
+        fixture.loop.advance(4_500)
+        fixture.silencedStore.isSilent = false
+        fixture.store.failure = null
+        fixture.store.put("a", "written after the outage".toByteArray())
+        val writtenMillis = fixture.loop.nowMillis()
+        fixture.loop.advance(2_500)
+        val seenMillis = fixture.seenAtMillis["written after the outage"] ?: Long.MAX_VALUE
+        assertTrue(seenMillis - writtenMillis < 2_500) { "${fixture.seenAtMillis}" }
+        assertTrue(fixture.reportedOutageMillis >= 4_000) { "reported ${fixture.reportedOutageMillis} ms" }
+    }
 }
