--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementManager.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementManager.kt
@@ -194,9 +194,8 @@
         val storeLoads = storeLoadLimiter(service).availableLoads(now, profile.storeLoadsPerSecond)
         val snapshots = serviceEngines.map { it.snapshot(profile, now) }
         val serviceDemand = demand.filterKeys { it in profile.models }
-        val overdue = unservedModels.getOrPut(service) {
-            UnservedModels()
-        }.update(profile, snapshots, serviceDemand, now)
+        val unserved = unservedModels.getOrPut(service) { UnservedModels() }
+        val overdue = unserved.update(profile, snapshots, serviceDemand, now)
         for (swap in SwapPlanner(profile, overdue).plan(snapshots, serviceDemand, storeLoads)) {
             val engine = engines[swap.target] ?: continue
             recorder.event("placement.swap") {
