--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/store/PlacementElectionSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/store/PlacementElectionSpec.kt
@@ -275,20 +275,25 @@
         assertTrue(other.election.term != null)
     }
 
-    @Test
-    fun `a VM that is killed during the hand-over time waits again after its restart`() {
-        val loop = ManualLoop()
+    /** Restarts a VM that succeeded a killed holder and was itself killed [afterMillis] after that. */
+    private fun restartedSuccessor(loop: ManualLoop, afterMillis: Long): Vm {
         val store = FakeStore(loop)
-        val killed = Vm("vm-1", loop, store, Random(1)).also(Vm::start)
+        val first = Vm("vm-1", loop, store, Random(1)).also(Vm::start)
         loop.advance(500)
-        val next = Vm("vm-2", loop, store, Random(2), isFirstStart = false).also(Vm::start)
+        val successor = Vm("vm-2", loop, store, Random(2), isFirstStart = false).also(Vm::start)
         loop.advance(500)
-        killed.kill()
-        loop.advance(LEASE_MILLIS + 500)
+        first.kill()
+        loop.advance(afterMillis)
         assertTrue(store.items.getValue(PlacementElection.HOLDER_KEY).value.decodeToString().startsWith("vm-2"))
-        next.kill()
+        successor.kill()
         loop.advance(300)
-        val restarted = Vm("vm-2", loop, store, Random(3), isFirstStart = false).also(Vm::start)
+        return Vm("vm-2", loop, store, Random(3), isFirstStart = false).also(Vm::start)
+    }
+
+    @Test
+    fun `a VM that is killed during the hand-over time waits again after its restart`() {
+        val loop = ManualLoop()
+        val restarted = restartedSuccessor(loop, afterMillis = LEASE_MILLIS + 500)
         loop.advance(HAND_OVER_MILLIS)
         assertEquals(null, restarted.election.term)
         loop.advance(1_000)
@@ -298,17 +303,7 @@
     @Test
     fun `a VM that is killed after the hand-over time goes on at once after its restart`() {
         val loop = ManualLoop()
-        val store = FakeStore(loop)
-        val killed = Vm("vm-1", loop, store, Random(1)).also(Vm::start)
-        loop.advance(500)
-        val next = Vm("vm-2", loop, store, Random(2), isFirstStart = false).also(Vm::start)
-        loop.advance(500)
-        killed.kill()
-        loop.advance(LEASE_MILLIS + HAND_OVER_MILLIS + 2_000)
-        assertTrue(next.election.term != null)
-        next.kill()
-        loop.advance(300)
-        val restarted = Vm("vm-2", loop, store, Random(3), isFirstStart = false).also(Vm::start)
+        val restarted = restartedSuccessor(loop, afterMillis = LEASE_MILLIS + HAND_OVER_MILLIS + 2_000)
         loop.advance(500)
         assertTrue(restarted.election.term != null)
     }
