--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/PlacementManagerSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/placement/PlacementManagerSpec.kt
@@ -111,6 +111,38 @@
         }
     }
 
+    /** An engine that publishes its state and may restart under its id, with the registry and orders of its holders. */
+    private class EngineLife(seed: Int, lossShare: Double) {
+        val loop = ManualLoop()
+        val random = Random(seed)
+        val engine = Engine(loop, random, lossShare)
+        val book = TargetRegistry(loop)
+        val orders = FakeOrders().apply {
+            onReport = { engine.report() }
+            onOrder = { _, order, reply -> engine.order(order, reply) }
+        }
+        private var startNumber = 1L
+
+        init {
+            engine.onChange = ::publish
+            publish()
+        }
+
+        fun publish() {
+            val record = Samples.record("e1", Samples.engines, started = startNumber).copy(
+                models = engine.models.mapValues { it.value.toSet() },
+                modelsOnDisk = listOf("m1", "m2", "m3").mapTo(HashSet(), ::ModelId),
+            )
+            book.apply(record)
+        }
+
+        fun restart() {
+            startNumber++
+            engine.restart()
+            publish()
+        }
+    }
+
     @Test
     fun `never overfills an engine that loses answers, executes orders late and unloads adapters slowly`() {
         for (seed in 1..40) {
@@ -150,36 +182,21 @@
     @Test
     fun `never overfills an engine that restarts under its id while orders are unanswered`() {
         for (seed in 1..200) {
-            val loop = ManualLoop()
-            val random = Random(seed)
-            val engine = Engine(loop, random, lossShare = 0.5)
-            val book = TargetRegistry(loop)
-            var startNumber = 1L
-            fun record() = Samples.record("e1", Samples.engines, started = startNumber).copy(
-                models = engine.models.mapValues { it.value.toSet() },
-                modelsOnDisk = listOf("m1", "m2", "m3").mapTo(HashSet(), ::ModelId),
-            )
-            engine.onChange = { book.apply(record()) }
-            book.apply(record())
-            val orders = FakeOrders().apply {
-                onReport = { engine.report() }
-                onOrder = { _, order, reply -> engine.order(order, reply) }
-            }
-            val manager = manager(loop, book, orders)
+            val life = EngineLife(seed, lossShare = 0.5)
+            val manager = manager(life.loop, life.book, life.orders)
             val configuration = Samples.configuration(Samples.route(RouteKind.STREAMING, Samples.engines))
             repeat(300) { round ->
                 if (round % 25 == 24) {
-                    startNumber++
-                    engine.restart()
-                    book.apply(record())
+                    life.restart()
                 }
-                manager.requestAdapter(randomUse(random))
-                val demand = ModelId("m${random.nextInt(1, 4)}") to ModelDemand(2, 200)
+                manager.requestAdapter(randomUse(life.random))
+                val demand = ModelId("m${life.random.nextInt(1, 4)}") to ModelDemand(2, 200)
                 manager.tick(configuration, mapOf(demand))
-                loop.advance(200)
+                life.loop.advance(200)
             }
-            assertEquals(null, engine.overfillReport) { "seed $seed" }
-            assertTrue(orders.sentOrders.size > 30) { "only ${orders.sentOrders.size} orders with seed $seed" }
+            assertEquals(null, life.engine.overfillReport) { "seed $seed" }
+            val sent = life.orders.sentOrders.size
+            assertTrue(sent > 30) { "only $sent orders with seed $seed" }
         }
     }
 
@@ -203,47 +220,31 @@
     private fun assertNeverOverfilled(case: EngineLifeCase, steps: Int) {
         val stepsPerSeed = 400
         for (seed in 1..steps / stepsPerSeed) {
-            val loop = ManualLoop()
-            val random = Random(seed)
-            val engine = Engine(loop, random, lossShare = 0.4)
-            val book = TargetRegistry(loop)
-            var startNumber = 1L
-            fun record() = Samples.record("e1", Samples.engines, started = startNumber).copy(
-                models = engine.models.mapValues { it.value.toSet() },
-                modelsOnDisk = listOf("m1", "m2", "m3").mapTo(HashSet(), ::ModelId),
-            )
-            engine.onChange = { book.apply(record()) }
-            book.apply(record())
-            val orders = FakeOrders().apply {
-                onReport = { engine.report() }
-                onOrder = { _, order, reply -> engine.order(order, reply) }
-            }
+            val life = EngineLife(seed, lossShare = 0.4)
             var term = 1L
-            fun holder() = term.let { own -> manager(loop, book, orders) { own.takeIf { it == term } } }
+            fun holder() = term.let { own -> manager(life.loop, life.book, life.orders) { own.takeIf { it == term } } }
             var manager = holder()
             val configuration = Samples.configuration(Samples.route(RouteKind.STREAMING, Samples.engines))
             repeat(stepsPerSeed) {
-                if (case.restarts && random.nextInt(25) == 0) {
-                    startNumber++
-                    engine.restart()
-                    book.apply(record())
+                if (case.restarts && life.random.nextInt(25) == 0) {
+                    life.restart()
                 }
-                if (case.lapses && random.nextInt(40) == 0) {
-                    book.remove(TargetId("e1"))
-                    loop.advance(random.nextLong(200, 3_000))
-                    book.apply(record())
+                if (case.lapses && life.random.nextInt(40) == 0) {
+                    life.book.remove(TargetId("e1"))
+                    life.loop.advance(life.random.nextLong(200, 3_000))
+                    life.publish()
                 }
-                if (case.newHolders && random.nextInt(60) == 0) {
+                if (case.newHolders && life.random.nextInt(60) == 0) {
                     term++
-                    loop.advance(HAND_OVER_MILLIS)
+                    life.loop.advance(HAND_OVER_MILLIS)
                     manager = holder()
                 }
-                manager.requestAdapter(randomUse(random))
-                val demand = ModelId("m${random.nextInt(1, 4)}") to ModelDemand(2, 200)
+                manager.requestAdapter(randomUse(life.random))
+                val demand = ModelId("m${life.random.nextInt(1, 4)}") to ModelDemand(2, 200)
                 manager.tick(configuration, mapOf(demand))
-                loop.advance(200)
+                life.loop.advance(200)
             }
-            assertEquals(null, engine.overfillReport) { "seed $seed" }
+            assertEquals(null, life.engine.overfillReport) { "seed $seed" }
         }
     }
 
