Report crashes of engines with the prompt parts that may have caused them

The log named the target of a broken attempt, but neither the prompt parts nor whether the answer had begun, and a crashed engine could not be told from one broken connection. Attempts that break and an engine that then refuses connections, starts anew or is gone now give one event engine.crashed a VM, with the shared parts of the unanswered requests; attempt.failed names its shared parts. Ids of prompt parts get a type. Nothing is decided by it yet. Measured: EngineCrashDetectorSpec (8 cases), the tests of serving, platform and the modules that they use passed.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -14,6 +14,7 @@
 import dev.bergamotwind.serving.call.TargetTransport
 import dev.bergamotwind.serving.call.WaitingCalls
 import dev.bergamotwind.serving.catalogue.ServedConfiguration
+import dev.bergamotwind.serving.crash.EngineCrashDetector
 import dev.bergamotwind.serving.peer.AdapterUse
 import dev.bergamotwind.serving.peer.ModelDemand
 import dev.bergamotwind.serving.peer.PeerHeartbeat
@@ -119,6 +120,7 @@
             field("first_start", settings.isFirstStart)
         }
         targets.onChange = ::scheduleWakeUp
+        targets.onEnded = context.crashes::onEnded
         context.rateLimiter.onLargeUse = ::scheduleEarlyHeartbeat
         lease.onGranted = ::register
         lease.onRenewed = storeWatcher::recordContact
@@ -156,6 +158,7 @@
         if (ticks % TICKS_PER_EXPIRY == 0L) {
             guard.runIsolated("sweep") {
                 peers.removeExpired()
+                context.crashes.removeExpired()
                 targets.all.forEach { it.decayLatencyRatio() }
             }
         }
@@ -409,6 +412,7 @@
         override val rateLimiter = FleetRateLimiter(ports.loop, settings.rateToleranceTokens) { peers.reachableShare }
         override val waitingCalls = WaitingCalls()
         override val demand = DemandMeter()
+        override val crashes = EngineCrashDetector(ports.loop, ports.recorder) {}
         override val isStopping: Boolean get() = shutdown.isStopping
         override val refusesNewCalls: Boolean get() = shutdown.refusesNew
         override val shutdownRemainingMillis: Long? get() = shutdown.remainingMillis
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallAttempt.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallAttempt.kt
@@ -2,6 +2,8 @@
 
 import dev.bergamotwind.api.CallerExchange
 import dev.bergamotwind.serving.catalogue.RouteKind
+import dev.bergamotwind.serving.crash.BrokenAttempt
+import dev.bergamotwind.serving.crash.SOUND_STREAM_MILLIS
 import dev.bergamotwind.serving.targets.AttemptLoad
 import dev.bergamotwind.serving.targets.REPLACED_SUSPENSION_MILLIS
 import dev.bergamotwind.serving.targets.TargetChoice
@@ -22,6 +24,9 @@
     private var handle: Attempt? = null
     private var head: ResponseHead? = null
 
+    /** Time of the first complete event, or of the first byte of a plain response; null before. */
+    private var answeredSinceMillis: Long? = null
+
     private var cancelBodyTimeout: () -> Unit = {}
 
     /**
@@ -32,8 +37,7 @@
         private set
 
     /** True once a byte of a plain response, or a complete event of a stream, has arrived. */
-    var hasReceivedBody = false
-        private set
+    val hasReceivedBody: Boolean get() = answeredSinceMillis != null
 
     /** True while reading the response is paused because the caller reads too slowly. */
     var isPaused = false
@@ -46,6 +50,9 @@
     var mayRetryTarget = false
         private set
 
+    /** True while a crash of the engine may have been caused by this request: it has only just begun to be answered. */
+    val mayCauseCrash: Boolean get() = answeredSinceMillis.let { it == null || now - it < SOUND_STREAM_MILLIS }
+
     private val isActive get() = outcomeHandler.isActive(this)
     private val now get() = context.loop.nowMillis()
 
@@ -112,15 +119,22 @@
     override fun onNotSent(reason: String) {
         if (!isActive) return
         target.health.recordUnreachable(now)
+        context.crashes.onEnded(target)
         outcomeHandler.onNotRun(this, reason, reachedTarget = false)
     }
 
     override fun onInterrupted(reason: String) {
         if (!isActive) return
+        recordBroken()
         target.health.recordFailure(now)
         outcomeHandler.onFailed(this, reason)
     }
 
+    private fun recordBroken() {
+        val parts = call.modelRequest?.sharedParts?.map { it.id } ?: return
+        context.crashes.onBroken(target, BrokenAttempt(now, parts, mayCauseCrash))
+    }
+
     private fun recordContact(): Unit = target.health.recordContact(now)
 
     private fun recordProgress(head: ResponseHead) {
@@ -128,7 +142,7 @@
         if (isStream && head.isSuccess && !hasReceivedBody) {
             context.picker.recordFirstByte(target, load, call.modelRequest)
         }
-        hasReceivedBody = true
+        if (answeredSinceMillis == null) answeredSinceMillis = now
     }
 
     private fun fail(reason: String) {
@@ -178,9 +192,13 @@
     private fun finishResponse(head: ResponseHead) {
         if (!isStream) context.picker.recordFirstByte(target, load, call.modelRequest)
         if (head.status >= FIRST_SERVER_ERROR) target.health.recordFailure(now)
-        if (!relay.complete()) return fail("the stream ended within an event")
+        if (!relay.complete()) {
+            recordBroken()
+            return fail("the stream ended within an event")
+        }
         if (head.isSuccess) {
             target.health.recordSuccess(now)
+            context.crashes.onAnswer(target, load.sentMillis)
             if (isStream) call.modelRequest?.let { context.picker.recordStreamEnd(target, load, it) }
         }
         outcomeHandler.onAnswered(this, head.status)
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallEventRecorder.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallEventRecorder.kt
@@ -37,6 +37,8 @@
         context.recorder.event("attempt.failed", call.id) {
             field("target", attempt.target.record.id)
             field("reason", reason)
+            field("may_cause_crash", attempt.mayCauseCrash)
+            field("shared_parts", call.modelRequest?.sharedParts?.map { it.id }?.joinToString(",")?.ifEmpty { null })
             field("millis", now - attempt.load.sentMillis)
             field("predicted_millis", attempt.choice.predictedMillis.toLong())
             field("failure_share", "%.2f".format(attempt.target.health.currentFailureShare(now)))
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ModelRequest.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ModelRequest.kt
@@ -14,6 +14,9 @@
     val outputEstimateTokens: Int?,
     val parts: List<PromptPart>,
 ) {
+    /** Parts that other requests may have as well; the last part belongs to the request or its session alone. */
+    val sharedParts: List<PromptPart> get() = parts.dropLast(1)
+
     /** Tokens that are expected to be generated. */
     val outputTokens: Int get() = outputEstimateTokens?.coerceAtMost(outputLimitTokens) ?: outputLimitTokens
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ServingContext.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ServingContext.kt
@@ -4,6 +4,7 @@
 import dev.bergamotwind.api.ServiceId
 import dev.bergamotwind.serving.ServingLoop
 import dev.bergamotwind.serving.catalogue.ServedConfiguration
+import dev.bergamotwind.serving.crash.EngineCrashDetector
 import dev.bergamotwind.serving.placement.DemandMeter
 import dev.bergamotwind.serving.rate.FleetRateLimiter
 import dev.bergamotwind.serving.targets.TargetPicker
@@ -23,6 +24,7 @@
     val rateLimiter: FleetRateLimiter
     val waitingCalls: WaitingCalls
     val demand: DemandMeter
+    val crashes: EngineCrashDetector
 
     /** True once the VM has been told to stop. */
     val isStopping: Boolean
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/PromptCacheEstimate.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/PromptCacheEstimate.kt
@@ -1,6 +1,7 @@
 package dev.bergamotwind.serving.targets
 
 import dev.bergamotwind.serving.call.ModelRequest
+import dev.bergamotwind.serving.call.PromptPartId
 
 /** Estimates what an engine has cached from the prompt parts that were sent to it recently. */
 internal class PromptCacheEstimate {
@@ -22,7 +23,7 @@
         request.parts.forEach { recentParts[cacheKey(request, it.id)] = Unit }
     }
 
-    private fun cacheKey(request: ModelRequest, partId: Long): Long = partId * MULTIPLIER +
+    private fun cacheKey(request: ModelRequest, partId: PromptPartId): Long = partId.value * MULTIPLIER +
         request.model.value.hashCode() + (request.adapter?.value?.hashCode() ?: 0).toLong() * MULTIPLIER
 
     private companion object {
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetPicker.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetPicker.kt
@@ -144,7 +144,7 @@
      * rendezvous hashing over the targets that have loaded the model, which moves few prompts when the set changes.
      */
     private fun affinityTarget(candidates: List<TargetState>, request: ModelRequest): TargetState? {
-        val sharedPart = request.parts.getOrNull(request.parts.size - 2)?.id ?: 0L
+        val sharedPart = request.sharedParts.lastOrNull()?.id?.value ?: 0L
         val seed = StableHash.hash(sharedPart + (request.adapter?.value?.hashCode() ?: 0) * ADAPTER_MULTIPLIER)
         return candidates.maxByOrNull { StableHash.hash(seed xor it.record.id.value.hashCode().toLong()) }
     }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetRegistry.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetRegistry.kt
@@ -15,6 +15,9 @@
     /** Called when a target was added, updated or removed, or when its loaded models have changed. */
     public var onChange: (() -> Unit)? = null
 
+    /** Called with the state of a target that was removed or has started anew. */
+    internal var onEnded: ((TargetState) -> Unit)? = null
+
     /** All targets. */
     public val all: Collection<TargetState> get() = targets.values
 
@@ -47,6 +50,7 @@
     public fun remove(id: TargetId) {
         val removed = targets.remove(id) ?: return
         byService[removed.record.service]?.remove(removed)
+        onEnded?.invoke(removed)
         onChange?.invoke()
     }
 
