--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Samples.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Samples.kt
@@ -12,6 +12,8 @@
 import dev.bergamotwind.api.VmId
 import dev.bergamotwind.serving.call.Call
 import dev.bergamotwind.serving.call.ModelRequest
+import dev.bergamotwind.serving.call.PromptPart
+import dev.bergamotwind.serving.call.PromptPartId
 import dev.bergamotwind.serving.catalogue.EngineProfile
 import dev.bergamotwind.serving.catalogue.RouteKind
 import dev.bergamotwind.serving.catalogue.ServedConfiguration
@@ -120,8 +122,15 @@
         modelRequest = work,
     )
 
-    fun work(model: String = "m1", adapter: String? = null, prompt: Int = 2_000) =
-        ModelRequest(ModelId(model), adapter?.let(::AdapterId), prompt, 100, null, emptyList())
+    fun work(model: String = "m1", adapter: String? = null, prompt: Int = 2_000, parts: List<Long> = emptyList()) =
+        ModelRequest(
+            ModelId(model),
+            adapter?.let(::AdapterId),
+            prompt,
+            100,
+            null,
+            parts.map { PromptPart(PromptPartId(it), 100) },
+        )
 
     fun settings(vm: String = "vm-1") = ServingSettings(
         vm = VmId(vm),
