Keep a connection to a target only after a success

Report of other operators: a faulty replica writes an earlier refusal once more on a kept connection. Callers were told "not run" for a request that was running, or it was sent to a second target. It could happen here: a refusal names no request, so its copy was taken for the answer to the next request on that connection. A connection that has carried anything but a success is closed now. Test that failed before: HttpDialerSpec, "does not reuse a connection after a refusal" (the second of two requests got 503, expected 200). Not found here: an answer that ends within its head; four new cases of HttpDialerSpec passed on the code before.

--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/entry/EntryRehearsal.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/entry/EntryRehearsal.kt
@@ -108,6 +108,7 @@
             leaseMillis = TIMEOUT_MILLIS.toLong(),
             watchPauseMillis = TIMEOUT_MILLIS.toLong(),
             handOverMillis = TIMEOUT_MILLIS.toLong(),
+            contactMillis = TIMEOUT_MILLIS.toLong(),
             graceMillis = TIMEOUT_MILLIS.toLong(),
         )
     }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingSettings.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingSettings.kt
@@ -28,6 +28,8 @@
     val watchPauseMillis: Long,
     /** Minimum time between the last order of one holder and the first of the next. */
     val handOverMillis: Long,
+    /** Time after which VMs that reach each other and the platform are expected to know of a change. */
+    val contactMillis: Long,
     /** Time from the stop signal until the process is killed. */
     val graceMillis: Long,
 )
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -15,6 +15,9 @@
 import dev.bergamotwind.serving.call.WaitingCalls
 import dev.bergamotwind.serving.catalogue.ServedConfiguration
 import dev.bergamotwind.serving.crash.EngineCrashDetector
+import dev.bergamotwind.serving.crash.PromptPartStatus
+import dev.bergamotwind.serving.crash.PromptQuarantine
+import dev.bergamotwind.serving.crash.StoredPromptParts
 import dev.bergamotwind.serving.peer.AdapterUse
 import dev.bergamotwind.serving.peer.ModelDemand
 import dev.bergamotwind.serving.peer.PeerHeartbeat
@@ -91,6 +94,7 @@
         StoreWatcher(ports.store, loop, ports.layout.watchedPrefix, random, recorder, StoreHandler()) {
             if (election.needsImmediateChanges) 0 else settings.watchPauseMillis
         }
+    private val storedPromptParts = StoredPromptParts(ports.store, loop, context.quarantine, recorder)
     private var configuration: ServedConfiguration? = null
     private var isSynced = false
     private var highestTerm = 0L
@@ -112,6 +116,9 @@
     /** Number of running requests. */
     public val activeRequests: Int get() = runs.size
 
+    /** The prompt parts that may crash engines, the most suspected ones first. */
+    public val promptParts: List<PromptPartStatus> get() = context.quarantine.statuses
+
     /** Starts watching the store and sending heartbeats. */
     public fun start() {
         recorder.event("vm.started") {
@@ -159,6 +166,7 @@
             guard.runIsolated("sweep") {
                 peers.removeExpired()
                 context.crashes.removeExpired()
+                context.quarantine.removeExpired()
                 targets.all.forEach { it.decayLatencyRatio() }
             }
         }
@@ -175,6 +183,7 @@
     private fun plan() {
         val current = configuration ?: return
         placement.tick(current, if (election.term == null) emptyMap() else fleetDemand())
+        if (election.term != null) storedPromptParts.writeChanges()
         // The end of a target's suspension triggers no notification.
         scheduleWakeUp()
     }
@@ -187,6 +196,7 @@
         field("lease_age_millis", lease.ageMillis)
         field("configuration", configuration?.version)
         field("term", election.term)
+        field("refused_parts", context.quarantine.refusedParts.joinToString(",") { it.id.toString() }.ifEmpty { null })
         field(
             "micros_per_token",
             context.picker.processingTimes.millisPerTokenByModel.entries.joinToString(",") { (model, millis) ->
@@ -270,6 +280,7 @@
             expectedModels = placement.expectedModels(),
             remainingUnits = if (peers.hasRecentStart) context.rateLimiter.levels() else emptyMap(),
             endedTerm = election.endedTermAnnouncement(placement::orderAges),
+            promptParts = context.quarantine.reports(),
         )
     }
 
@@ -341,6 +352,7 @@
                 item.key.startsWith(ports.layout.targetsPrefix) -> targetListener.onItemWritten(item)
                 item.key.startsWith(PlacementElection.KEY_PREFIX) -> election.onItemWritten(item)
                 item.key.startsWith(MEMBER_KEY_PREFIX) -> registerPeer(item)
+                item.key.startsWith(StoredPromptParts.KEY_PREFIX) -> storedPromptParts.onItemWritten(item)
             }
         }
 
@@ -349,6 +361,7 @@
                 key.startsWith(ports.layout.targetsPrefix) -> targetListener.onKeyRemoved(key)
                 key.startsWith(PlacementElection.KEY_PREFIX) -> election.onKeyRemoved(key)
                 key.startsWith(MEMBER_KEY_PREFIX) -> peers.onDeregistered(VmId(key.removePrefix(MEMBER_KEY_PREFIX)))
+                key.startsWith(StoredPromptParts.KEY_PREFIX) -> storedPromptParts.onKeyRemoved(key)
             }
         }
 
@@ -371,6 +384,7 @@
                 heartbeat.remainingUnits,
             )
             targets.applyPeerLoads(heartbeat.vm, heartbeat.loads)
+            heartbeat.promptParts.forEach(context.quarantine::apply)
             heartbeat.endedTerm?.let { ended ->
                 if (placementHolder == heartbeat.vm) placementHolder = null
                 election.onTermEndAnnounced(ended)
@@ -412,7 +426,19 @@
         override val rateLimiter = FleetRateLimiter(ports.loop, settings.rateToleranceTokens) { peers.reachableShare }
         override val waitingCalls = WaitingCalls()
         override val demand = DemandMeter()
-        override val crashes = EngineCrashDetector(ports.loop, ports.recorder) {}
+        override val quarantine = PromptQuarantine(
+            ports.loop,
+            settings.contactMillis * CONTACT_TIMES_PER_TRIAL,
+            ports.recorder,
+            { peers.turnDelayMillis(it.value) },
+            ::scheduleEarlyHeartbeat,
+        )
+        override val crashes = EngineCrashDetector(
+            ports.loop,
+            ports.recorder,
+            settings.contactMillis * CONTACT_TIMES_PER_TRIAL,
+            quarantine::onCrash,
+        )
         override val isStopping: Boolean get() = shutdown.isStopping
         override val refusesNewCalls: Boolean get() = shutdown.refusesNew
         override val shutdownRemainingMillis: Long? get() = shutdown.remainingMillis
@@ -458,6 +484,9 @@
     private companion object {
         const val MICROS_PER_MILLI = 1_000
 
+        /** A crash and the answer to a trial are each known everywhere after one contact time. */
+        const val CONTACT_TIMES_PER_TRIAL = 2
+
         /** Maximum milliseconds to wait for the revocation of the lease, which also expires by itself. */
         const val LEASE_RELEASE_TIMEOUT_MILLIS = 200L
     }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallAttempt.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallAttempt.kt
@@ -3,7 +3,6 @@
 import dev.bergamotwind.api.CallerExchange
 import dev.bergamotwind.serving.catalogue.RouteKind
 import dev.bergamotwind.serving.crash.BrokenAttempt
-import dev.bergamotwind.serving.crash.SOUND_STREAM_MILLIS
 import dev.bergamotwind.serving.targets.AttemptLoad
 import dev.bergamotwind.serving.targets.REPLACED_SUSPENSION_MILLIS
 import dev.bergamotwind.serving.targets.TargetChoice
@@ -27,6 +26,7 @@
     /** Time of the first complete event, or of the first byte of a plain response; null before. */
     private var answeredSinceMillis: Long? = null
 
+    private var isRecordedAsSound = false
     private var cancelBodyTimeout: () -> Unit = {}
 
     /**
@@ -50,8 +50,15 @@
     var mayRetryTarget = false
         private set
 
-    /** True while a crash of the engine may have been caused by this request: it has only just begun to be answered. */
-    val mayCauseCrash: Boolean get() = answeredSinceMillis.let { it == null || now - it < SOUND_STREAM_MILLIS }
+    /**
+     * True while a crash of the engine may have been caused by this request: its answer has not gone on for longer than
+     * the longest pause of a stream on time.
+     */
+    val mayCauseCrash: Boolean
+        get() {
+            val soundMillis = (progress.route?.maxEventGapMillis ?: 0).coerceAtLeast(MIN_EVENT_GAP_MILLIS)
+            return answeredSinceMillis.let { it == null || now - it < soundMillis }
+        }
 
     private val isActive get() = outcomeHandler.isActive(this)
     private val now get() = context.loop.nowMillis()
@@ -135,6 +142,12 @@
         context.crashes.onBroken(target, BrokenAttempt(now, parts, mayCauseCrash))
     }
 
+    private fun recordSound() {
+        if (isRecordedAsSound) return
+        isRecordedAsSound = true
+        call.modelRequest?.let { context.quarantine.onSound(it, answeredSinceMillis ?: now) }
+    }
+
     private fun recordContact(): Unit = target.health.recordContact(now)
 
     private fun recordProgress(head: ResponseHead) {
@@ -143,6 +156,7 @@
             context.picker.recordFirstByte(target, load, call.modelRequest)
         }
         if (answeredSinceMillis == null) answeredSinceMillis = now
+        if (!mayCauseCrash) recordSound()
     }
 
     private fun fail(reason: String) {
@@ -199,6 +213,7 @@
         if (head.isSuccess) {
             target.health.recordSuccess(now)
             context.crashes.onAnswer(target, load.sentMillis)
+            recordSound()
             if (isStream) call.modelRequest?.let { context.picker.recordStreamEnd(target, load, it) }
         }
         outcomeHandler.onAnswered(this, head.status)
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallHandler.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallHandler.kt
@@ -112,6 +112,7 @@
         val service = route.service(progress.serviceFraction)?.let { configuration?.services?.get(it) }
             ?: return refuse(Refusal(RefusalKind.UNAVAILABLE, "the route has no service", SHORT_RETRY_AFTER_MILLIS))
         progress.service = service
+        call.modelRequest?.let(context.quarantine::refusal)?.let { return refuse(progress.quarantineRefusal(it)) }
         val criteria = progress.targetCriteria(service, call.modelRequest, progress.excludedTargets)
         val choice = context.picker.pick(criteria)
         when {
@@ -189,6 +190,7 @@
         val load = context.picker.recordSent(choice, modelRequest, EnginePriority.classOf(route))
         val attempt = CallAttempt(choice, load, call, progress, relay, exchange, context, this)
         activeAttempt = attempt
+        modelRequest?.let(context.quarantine::onSent)
         progress.sends++
         progress.runs++
         attempt.send(request)
@@ -221,6 +223,7 @@
     override fun onNotRun(attempt: CallAttempt, reason: String, reachedTarget: Boolean) {
         endAttempt(attempt)
         progress.runs--
+        call.modelRequest?.let(context.quarantine::onNotRun)
         progress.lastFailure = reason
         events.recordFailedAttempt(attempt, reason)
         if (!attempt.mayRetryTarget) progress.excludedTargets += attempt.target.record.id
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
@@ -4,6 +4,7 @@
 import dev.bergamotwind.serving.catalogue.ServedRoute
 import dev.bergamotwind.serving.catalogue.ServedService
 import dev.bergamotwind.serving.catalogue.ServedTeam
+import dev.bergamotwind.serving.crash.RefusedPart
 import dev.bergamotwind.serving.targets.PriorityClass
 import dev.bergamotwind.serving.targets.TargetCriteria
 import dev.bergamotwind.serving.targets.TargetState
@@ -101,6 +102,12 @@
         return Refusal(RefusalKind.OVERLOADED, "the first event is expected after $predictedMillis ms", retryAfter)
     }
 
+    /** Returns the refusal of a call whose prompt contains [refused]. */
+    fun quarantineRefusal(refused: RefusedPart): Refusal {
+        val reason = "part ${refused.part} of the prompt has crashed ${refused.crashes} engines"
+        return Refusal(RefusalKind.QUARANTINED, reason, refused.retryAfterMillis)
+    }
+
     /** Returns [refusal], or a target failure if [refusal] promises "not run" although the request may have run. */
     fun withoutFalsePromise(refusal: Refusal): Refusal =
         if (mayHaveRun && refusal.kind.promisesNotRun) Refusal(RefusalKind.TARGET_FAILED, refusal.reason) else refusal
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/RefusalKind.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/RefusalKind.kt
@@ -24,6 +24,9 @@
     /** A required component is missing. */
     UNAVAILABLE(HttpStatus.SERVICE_UNAVAILABLE, true, "Repeat after the time in Retry-After."),
 
+    /** A part of the prompt has crashed engines. */
+    QUARANTINED(HttpStatus.SERVICE_UNAVAILABLE, true, "Leave out that part, or repeat after the time in Retry-After."),
+
     /** A target failed after the request may have reached it. */
     TARGET_FAILED(HttpStatus.BAD_GATEWAY, false, "Check whether the request took effect before repeating it."),
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ServingContext.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ServingContext.kt
@@ -5,6 +5,7 @@
 import dev.bergamotwind.serving.ServingLoop
 import dev.bergamotwind.serving.catalogue.ServedConfiguration
 import dev.bergamotwind.serving.crash.EngineCrashDetector
+import dev.bergamotwind.serving.crash.PromptQuarantine
 import dev.bergamotwind.serving.placement.DemandMeter
 import dev.bergamotwind.serving.rate.FleetRateLimiter
 import dev.bergamotwind.serving.targets.TargetPicker
@@ -25,6 +26,7 @@
     val waitingCalls: WaitingCalls
     val demand: DemandMeter
     val crashes: EngineCrashDetector
+    val quarantine: PromptQuarantine
 
     /** True once the VM has been told to stop. */
     val isStopping: Boolean
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/EngineCrashDetector.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/EngineCrashDetector.kt
@@ -13,6 +13,8 @@
 internal class EngineCrashDetector(
     private val loop: ServingLoop,
     private val recorder: EventRecorder,
+    /** Longest time in milliseconds from broken connections to the confirmation that the engine has ended. */
+    private val confirmationMillis: Long,
     private val onCrash: (EngineCrash) -> Unit,
 ) {
     private val broken = HashMap<TargetState, MutableList<BrokenAttempt>>()
@@ -32,7 +34,7 @@
     /** Handles an engine that cannot be reached, was replaced by another start or is gone. */
     fun onEnded(target: TargetState) {
         val now = loop.nowMillis()
-        val attempts = broken.remove(target)?.filter { now - it.brokenMillis < CRASH_CONFIRMATION_MILLIS }.orEmpty()
+        val attempts = broken.remove(target)?.filter { now - it.brokenMillis < confirmationMillis }.orEmpty()
         if (attempts.isEmpty()) return
         val suspects = attempts.filter { it.mayBeCause }
         val crashedMillis = attempts.minOf { it.brokenMillis }
@@ -40,7 +42,7 @@
         recorder.event("engine.crashed") {
             field("target", target.record.id)
             field("service", target.record.service)
-            field("started", target.record.startedWallMillis)
+            field("crash_id", EngineCrashId.of(target.record))
             field("crashed_millis_ago", now - crashedMillis)
             field("broken_requests", attempts.size)
             field("unanswered_requests", suspects.size)
@@ -54,7 +56,7 @@
     fun removeExpired() {
         val now = loop.nowMillis()
         broken.values.forEach { attempts ->
-            attempts.removeIf { now - it.brokenMillis >= CRASH_CONFIRMATION_MILLIS }
+            attempts.removeIf { now - it.brokenMillis >= confirmationMillis }
         }
         broken.values.removeIf { it.isEmpty() }
     }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/EngineCrashId.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/EngineCrashId.kt
@@ -8,7 +8,11 @@
 @Serializable
 @JvmInline
 internal value class EngineCrashId(val value: Long) {
+    override fun toString(): String = value.toULong().toString(HEXADECIMAL)
+
     companion object {
+        private const val HEXADECIMAL = 16
+
         /** Returns the id of the crash of the engine start that [record] describes. */
         fun of(record: TargetRecord): EngineCrashId {
             val engine = StableHash.hash(record.id.value.hashCode().toLong())
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/PeerHeartbeat.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/PeerHeartbeat.kt
@@ -4,6 +4,7 @@
 import dev.bergamotwind.api.TargetId
 import dev.bergamotwind.api.TeamId
 import dev.bergamotwind.api.VmId
+import dev.bergamotwind.serving.crash.PromptPartReport
 import dev.bergamotwind.serving.targets.InFlightLoad
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
@@ -52,4 +53,7 @@
     /** The term that the sender has recently ended, or null. */
     @CborLabel(12)
     val endedTerm: EndedTerm? = null,
+    /** Prompt parts that may crash engines, as far as something has changed. */
+    @CborLabel(13)
+    val promptParts: List<PromptPartReport> = emptyList(),
 )
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Samples.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Samples.kt
@@ -146,6 +146,7 @@
         rateToleranceTokens = 0.0,
         leaseMillis = 3_000,
         handOverMillis = 3_200,
+        contactMillis = 4_000,
         graceMillis = 8_000,
     )
 }
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/crash/EngineCrashDetectorSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/crash/EngineCrashDetectorSpec.kt
@@ -41,7 +41,7 @@
     fun `names the parts that may have crashed an engine when`(case: CrashCase) {
         val loop = ManualLoop()
         val crashes = mutableListOf<EngineCrash>()
-        val detector = EngineCrashDetector(loop, EventRecorder.None) { crashes += it }
+        val detector = EngineCrashDetector(loop, EventRecorder.None, CONFIRMATION_MILLIS) { crashes += it }
         val target = TargetState(Samples.record("e1", Samples.engines, lifecycle = case.lifecycle, started = 7), 0)
         for (step in case.steps) {
             val now = loop.nowMillis()
@@ -50,7 +50,7 @@
                 BREAK_ANSWERED -> detector.onBroken(target, BrokenAttempt(now, listOf(ANSWERED_PART), false))
                 ANSWER_TO_EARLIER_ATTEMPT -> detector.onAnswer(target, now - 1)
                 ANSWER_TO_LATER_ATTEMPT -> detector.onAnswer(target, now + 1)
-                WAIT -> loop.advance(CRASH_CONFIRMATION_MILLIS)
+                WAIT -> loop.advance(CONFIRMATION_MILLIS)
                 END -> detector.onEnded(target)
             }
         }
@@ -58,6 +58,7 @@
     }
 
     private companion object {
+        const val CONFIRMATION_MILLIS = 8_000L
         val UNANSWERED_PART = PromptPartId(1)
         val ANSWERED_PART = PromptPartId(2)
 
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/ClientConnection.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/ClientConnection.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
@@ -130,7 +131,8 @@
             return
         }
         answerStarted = true
-        reusable = HttpUtil.isKeepAlive(response) &&
+        // A faulty target may write a refusal once more. It names no request, so it would answer the next one.
+        reusable = response.status().codeClass() == HttpStatusClass.SUCCESS && HttpUtil.isKeepAlive(response) &&
             (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response))
         statedIdleMillis = keepAliveTimeout(response.headers().get("Keep-Alive"))
         current.head(response.status().code(), response.headers().map { Header(it.key, it.value) })
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/HttpDialer.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/HttpDialer.kt
@@ -12,7 +12,7 @@
 
 /**
  * Sends requests over kept or new connections. One request at a time uses a connection, nothing is ever sent twice,
- * and a connection is kept only after an answer that was complete and announced no end. Used on the event loop.
+ * and a connection is kept only after a success that was complete and announced no end. Used on the event loop.
  */
 public class HttpDialer(private val loop: EventLoop) {
     private val kept = HashMap<InetSocketAddress, ArrayDeque<ClientConnection>>()
--- a/bergamotwind-transport/src/test/kotlin/dev/bergamotwind/transport/HttpDialerSpec.kt
+++ b/bergamotwind-transport/src/test/kotlin/dev/bergamotwind/transport/HttpDialerSpec.kt
@@ -12,6 +12,7 @@
 import java.net.ServerSocket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Guards against answers that look whole and are not, requests that are sent twice, and stale connections. */
 class HttpDialerSpec {
@@ -79,6 +80,24 @@
         }
     }
 
+    // Guards against an earlier refusal, written once more, that is taken for the answer to the next request: refusals
+    // name no request, so a request that runs would be reported as not run and be sent to another target.
+    @Test
+    fun `does not reuse a connection after a refusal`() {
+        val connections = AtomicInteger()
+        val server = RawServer { connection ->
+            val answer = if (connections.getAndIncrement() == 0) REFUSAL else OK
+            while (connection.request() != null) connection.send(answer)
+        }
+        server.use {
+            val refused = send(server.address)
+            refused.await()
+            val next = send(server.address)
+            next.await()
+            assertEquals(listOf(503, 200), listOf(refused.status, next.status))
+        }
+    }
+
     @Test
     fun `does not reuse a connection beyond its idle time`() {
         val server = RawServer { connection ->
@@ -233,6 +252,8 @@
     }
 
     companion object {
+        private const val REFUSAL =
+            "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
         private const val OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
         private fun case(name: String, expected: String, act: (RawConnection) -> Unit) = AnswerCase(name, expected, act)
@@ -261,6 +282,22 @@
                 it.reset()
             },
             case("closed before an answer", "broken") { it.close() },
+            case("closed within the status line", "broken") {
+                it.send("HTTP/1.1 200 O")
+                it.close()
+            },
+            case("closed after the status line", "broken") {
+                it.send("HTTP/1.1 200 OK\r\n")
+                it.close()
+            },
+            case("closed within a field of the head", "broken") {
+                it.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nResponse-Sig")
+                it.close()
+            },
+            case("closed before the blank line of the head", "broken") {
+                it.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Field: 1\r\n")
+                it.close()
+            },
             case("reset before an answer", "broken") { it.reset() },
             case("bytes that are no answer", "broken") { it.send("\u0001\u0002garbage\r\n\r\nmore\r\n") },
             case("a status line without end", "broken") { it.sendWithoutEnd("HTTP/1.1 200 OK", "x".repeat(1_000)) },
