Treat a stream that ends before its first event as broken off

An engine that crashes after the head of a response without a length closes it without an event. The caller got an empty stream that looked complete.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ResponseRelay.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ResponseRelay.kt
@@ -53,15 +53,14 @@
         return true
     }
 
-    /** Completes the response; false when a stream ends within an event. */
+    /** Completes the response; false when a stream ends within an event, or before the first one. */
     fun complete(): Boolean {
         val current = head ?: return false
         if (!isStream) {
             exchange.answer(current.status, current.headers, body.toByteArray(), closeAfter())
             return true
         }
-        if (splitter.hasPartialEvent) return false
-        start()
+        if (splitter.hasPartialEvent || !isStarted) return false
         exchange.finish()
         return true
     }
