Refuse requests with a prompt part that has crashed engines

Class of fault: a request that kills its worker is given to the next worker.

A part is suspected when an unanswered request with it was at an engine that crashed, and cleared when a request with it is answered. After three crashes with causes of their own its requests are refused with 503 and a reason that names it. One request at a time is sent as a trial, claimed by a conditional write to the store; each failed trial doubles the wait. An engine is asked for its report when connections to it break, so that a crash is confirmed at once. The metrics address shows the parts at /prompt-parts.

--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/entry/EntryProcess.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/entry/EntryProcess.kt
@@ -35,8 +35,10 @@
     private val readiness = HttpListener(loop, { ListenerLimits() }) { _, exchange ->
         exchange.answer(if (vm.isReady) READY else NOT_READY, emptyList(), ByteArray(0), false)
     }
-    private val metrics = HttpListener(loop, { ListenerLimits() }) { _, exchange ->
-        exchange.answer(READY, listOf(Header("Content-Type", "text/plain")), recorder.scrape().toByteArray(), false)
+    private val metrics = HttpListener(loop, { ListenerLimits() }) { request, exchange ->
+        val parts = vm.promptParts
+        val text = if (request.path == PromptPartTable.PATH) PromptPartTable.render(parts) else recorder.scrape(parts)
+        exchange.answer(READY, listOf(Header("Content-Type", "text/plain")), text.toByteArray(), false)
     }
     private val peerPort = DatagramPort(loop) { sender, bytes -> vm.onPeerDatagram(sender, bytes) }
     private val vm: ServingVm = ServingVm(settings.serving, ports())
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/entry/MetricsRecorder.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/entry/MetricsRecorder.kt
@@ -4,14 +4,18 @@
 import dev.bergamotwind.api.EventKind
 import dev.bergamotwind.api.EventRecorder
 import dev.bergamotwind.api.RequestId
+import dev.bergamotwind.serving.crash.PromptPartStatus
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import java.time.Duration
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Counts events by kind and outcome, records the duration of requests, and forwards the events to [delegate]. */
 internal class MetricsRecorder(private val delegate: EventRecorder) : EventRecorder {
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val suspectedParts = registry.gauge("bergamotwind.prompt.parts.suspected", AtomicInteger())
+    private val refusedParts = registry.gauge("bergamotwind.prompt.parts.refused", AtomicInteger())
 
     override fun record(kind: EventKind, request: RequestId?, fields: List<EventField>) {
         delegate.record(kind, request, fields)
@@ -20,8 +24,12 @@
         if (kind == REQUEST_ENDED) fields.value("millis")?.toLongOrNull()?.let { recordDuration(outcome, it) }
     }
 
-    /** Returns all metrics in the Prometheus text format. */
-    fun scrape(): String = registry.scrape()
+    /** Returns all metrics in the Prometheus text format, with the number of [promptParts]. */
+    fun scrape(promptParts: List<PromptPartStatus>): String {
+        suspectedParts.set(promptParts.size)
+        refusedParts.set(promptParts.count { it.isRefused })
+        return registry.scrape()
+    }
 
     private fun recordDuration(outcome: String, millis: Long): Unit = Timer.builder("bergamotwind.request.duration")
         .tag("outcome", outcome)
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -94,7 +94,8 @@
         StoreWatcher(ports.store, loop, ports.layout.watchedPrefix, random, recorder, StoreHandler()) {
             if (election.needsImmediateChanges) 0 else settings.watchPauseMillis
         }
-    private val storedPromptParts = StoredPromptParts(ports.store, loop, context.quarantine, recorder)
+    private val storedPromptParts: StoredPromptParts =
+        StoredPromptParts(ports.store, loop, context.quarantine, recorder)
     private var configuration: ServedConfiguration? = null
     private var isSynced = false
     private var highestTerm = 0L
@@ -430,13 +431,14 @@
             ports.loop,
             settings.contactMillis * CONTACT_TIMES_PER_TRIAL,
             ports.recorder,
-            { peers.turnDelayMillis(it.value) },
+            { report, reply -> storedPromptParts.claim(report, reply) },
             ::scheduleEarlyHeartbeat,
         )
         override val crashes = EngineCrashDetector(
             ports.loop,
             ports.recorder,
             settings.contactMillis * CONTACT_TIMES_PER_TRIAL,
+            { target, reply -> ports.orders.requestReport(target.record) { reply(it != null) } },
             quarantine::onCrash,
         )
         override val isStopping: Boolean get() = shutdown.isStopping
@@ -472,6 +474,8 @@
         override fun expectedLoadMillis(modelRequest: ModelRequest): Long? =
             placement.millisUntilLoaded(modelRequest.model) ?: expectedLoads.millisUntilLoaded(modelRequest.model)
 
+        override fun scheduleWakeUp(): Unit = this@ServingVm.scheduleWakeUp()
+
         override fun onCallEnded(handler: CallHandler) {
             runs -= handler
         }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallAttempt.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallAttempt.kt
@@ -208,7 +208,7 @@
         if (head.status >= FIRST_SERVER_ERROR) target.health.recordFailure(now)
         if (!relay.complete()) {
             recordBroken()
-            return fail("the stream ended within an event")
+            return fail("the stream ended within an event or before the first one")
         }
         if (head.isSuccess) {
             target.health.recordSuccess(now)
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallHandler.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallHandler.kt
@@ -3,6 +3,7 @@
 import dev.bergamotwind.api.CallerExchange
 import dev.bergamotwind.serving.catalogue.ServedRoute
 import dev.bergamotwind.serving.catalogue.ServedTeam
+import dev.bergamotwind.serving.crash.RefusedPart
 import dev.bergamotwind.serving.peer.AdapterUse
 import dev.bergamotwind.serving.targets.TargetChoice
 import dev.bergamotwind.serving.targets.TargetCriteria
@@ -25,6 +26,9 @@
     private var activeAttempt: CallAttempt? = null
     private var isFinished = false
 
+    /** True when the last attempt was the trial of a refused prompt part. */
+    private var isTrial = false
+
     /** Target at which the call waits for an adapter or uses one, or null. */
     var adapterTarget: TargetState? = null
         private set
@@ -112,7 +116,7 @@
         val service = route.service(progress.serviceFraction)?.let { configuration?.services?.get(it) }
             ?: return refuse(Refusal(RefusalKind.UNAVAILABLE, "the route has no service", SHORT_RETRY_AFTER_MILLIS))
         progress.service = service
-        call.modelRequest?.let(context.quarantine::refusal)?.let { return refuse(progress.quarantineRefusal(it)) }
+        call.modelRequest?.let(context.quarantine::refusal)?.let { return handleRefusedPart(it) }
         val criteria = progress.targetCriteria(service, call.modelRequest, progress.excludedTargets)
         val choice = context.picker.pick(criteria)
         when {
@@ -128,6 +132,15 @@
         }
     }
 
+    private fun handleRefusedPart(refused: RefusedPart) {
+        if (refused.isTrialDue && !progress.mayHaveRun) {
+            waitForTargets(CONNECT_TIMEOUT_MILLIS, "the trial of part ${refused.part} of the prompt was not decided")
+            return context.quarantine.claimTrial(refused.part, context::scheduleWakeUp)
+        }
+        context.quarantine.onRefused(refused.part)
+        refuse(progress.quarantineRefusal(refused))
+    }
+
     private fun handleNoTarget(criteria: TargetCriteria) {
         val modelRequest = call.modelRequest
         val remaining = progress.remainingToFirstEventMillis
@@ -190,7 +203,7 @@
         val load = context.picker.recordSent(choice, modelRequest, EnginePriority.classOf(route))
         val attempt = CallAttempt(choice, load, call, progress, relay, exchange, context, this)
         activeAttempt = attempt
-        modelRequest?.let(context.quarantine::onSent)
+        isTrial = modelRequest != null && context.quarantine.onSent(modelRequest)
         progress.sends++
         progress.runs++
         attempt.send(request)
@@ -223,7 +236,7 @@
     override fun onNotRun(attempt: CallAttempt, reason: String, reachedTarget: Boolean) {
         endAttempt(attempt)
         progress.runs--
-        call.modelRequest?.let(context.quarantine::onNotRun)
+        if (isTrial) call.modelRequest?.let(context.quarantine::onTrialNotRun)
         progress.lastFailure = reason
         events.recordFailedAttempt(attempt, reason)
         if (!attempt.mayRetryTarget) progress.excludedTargets += attempt.target.record.id
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
@@ -105,7 +105,11 @@
     /** Returns the refusal of a call whose prompt contains [refused]. */
     fun quarantineRefusal(refused: RefusedPart): Refusal {
         val reason = "part ${refused.part} of the prompt has crashed ${refused.crashes} engines"
-        return Refusal(RefusalKind.QUARANTINED, reason, refused.retryAfterMillis)
+        return Refusal(
+            RefusalKind.QUARANTINED,
+            reason,
+            refused.retryAfterMillis.coerceAtLeast(SHORT_RETRY_AFTER_MILLIS),
+        )
     }
 
     /** Returns [refusal], or a target failure if [refusal] promises "not run" although the request may have run. */
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ServingContext.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ServingContext.kt
@@ -58,6 +58,9 @@
     /** Milliseconds until the model of [modelRequest], which no target has loaded, is expected; null when unknown. */
     fun expectedLoadMillis(modelRequest: ModelRequest): Long?
 
+    /** Dispatches the waiting calls soon. */
+    fun scheduleWakeUp()
+
     /** The call of [handler] has ended. */
     fun onCallEnded(handler: CallHandler)
 }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/EngineCrashDetector.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/EngineCrashDetector.kt
@@ -15,13 +15,19 @@
     private val recorder: EventRecorder,
     /** Longest time in milliseconds from broken connections to the confirmation that the engine has ended. */
     private val confirmationMillis: Long,
+    /** Asks an engine whether it runs; replies false when it does not answer. */
+    private val probe: (TargetState, (Boolean) -> Unit) -> Unit,
     private val onCrash: (EngineCrash) -> Unit,
 ) {
     private val broken = HashMap<TargetState, MutableList<BrokenAttempt>>()
 
     /** Handles an attempt at [target] whose connection ended. */
     fun onBroken(target: TargetState, attempt: BrokenAttempt) {
-        if (target.record.lifecycle == TargetLifecycle.READY) broken.getOrPut(target) { mutableListOf() } += attempt
+        if (target.record.lifecycle != TargetLifecycle.READY) return
+        val attempts = broken.getOrPut(target) { mutableListOf() }
+        attempts += attempt
+        // The store tells of the end of an engine only seconds later, and few requests are sent to it until then.
+        if (attempts.size == 1) probe(target) { isRunning -> if (!isRunning) onEnded(target) }
     }
 
     /** Handles a success of [target] for an attempt sent at [sentMillis]: what broke before was not a crash. */
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/PromptQuarantine.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/PromptQuarantine.kt
@@ -13,16 +13,15 @@
  *
  * A part is suspected when an unanswered request with it was at an engine that crashed, and cleared when a request with
  * it is answered. After [REFUSING_CRASHES] crashes without an answer its requests are refused. From time to time one of
- * them is sent to an engine as a trial, at one VM at a time; each crash doubles the time until the next trial. VMs share
- * crashes and answers, so that one VM's knowledge outlives it. Used on the serving loop.
+ * them is sent to an engine as a trial; each failed trial doubles the time until the next one. VMs share crashes and answers,
+ * so that one VM's knowledge outlives it. Used on the serving loop.
  */
 internal class PromptQuarantine(
     private val loop: ServingLoop,
     /** Time in milliseconds until the first trial, and the longest time that a trial takes. */
     private val trialPauseMillis: Long,
     private val recorder: EventRecorder,
-    /** Returns the additional wait of this VM before a trial, so that VMs do not begin trials at once. */
-    private val trialDelayMillis: (PromptPartId) -> Long,
+    private val trialClaims: TrialClaims,
     /** Called when the other VMs have to be told of a change. */
     private val onChange: () -> Unit,
 ) {
@@ -65,29 +64,52 @@
         }
     }
 
-    /** Takes note that [request] is sent to an engine; for a refused part this is its trial. */
-    fun onSent(request: ModelRequest) {
-        for (suspect in refusedIn(request)) {
+    /** Takes note that [request] is sent to an engine; true when it is the trial of a refused part. */
+    fun onSent(request: ModelRequest): Boolean {
+        val tried = refusedIn(request)
+        for (suspect in tried) {
+            suspect.trialPermitUntilMillis = loop.nowMillis()
+            recorder.event("prompt-part.trial") { describe(suspect) }
+        }
+        return tried.isNotEmpty()
+    }
+
+    /** Takes note that an engine did not accept the trial [request], so it has shown nothing and may be repeated. */
+    fun onTrialNotRun(request: ModelRequest): Unit = refusedIn(request).forEach(::permitTrial)
+
+    /**
+     * Asks for the trial of [part]; [onDecided] is called when it has been decided. No VM can begin another trial
+     * before this one has had its time.
+     */
+    fun claimTrial(part: PromptPartId, onDecided: () -> Unit) {
+        val suspect = suspects[part] ?: return
+        if (suspect.isClaimingTrial) return
+        suspect.isClaimingTrial = true
+        trialClaims.claim(reportOf(suspect).copy(trialAge = 0)) { isGranted ->
+            suspect.isClaimingTrial = false
+            // Without the claim another VM has just begun a trial, or the store cannot tell.
             suspect.trialMillis = loop.nowMillis()
             suspect.changedMillis = loop.nowMillis()
-            recorder.event("prompt-part.trial") { describe(suspect) }
-            onChange()
+            if (isGranted) permitTrial(suspect)
+            onDecided()
         }
     }
 
-    /** Takes note that an engine did not accept [request], so a trial has shown nothing. */
-    fun onNotRun(request: ModelRequest) {
-        refusedIn(request).forEach { it.trialMillis = null }
+    private fun permitTrial(suspect: SuspectPart) {
+        suspect.trialPermitUntilMillis = loop.nowMillis() + trialPauseMillis / 2
+    }
+
+    /** Takes note that a request was refused for [part]. */
+    fun onRefused(part: PromptPartId) {
+        suspects[part]?.let { it.refusedRequests++ }
     }
 
     /** Returns why [request] must not be sent to an engine now, or null. */
     fun refusal(request: ModelRequest): RefusedPart? {
         val parts = request.sharedParts.mapTo(HashSet()) { it.id }
-        val (suspect, wait) = refusedIn(request).map { it to millisUntilTrial(it, parts) }.maxByOrNull { it.second }
-            ?: return null
-        if (wait <= 0) return null
-        suspect.refusedRequests++
-        return RefusedPart(suspect.id, suspect.separateCrashes, wait)
+        val (suspect, wait) = refusedIn(request).filter { it.trialPermitUntilMillis <= loop.nowMillis() }
+            .map { it to millisUntilTrial(it, parts) }.maxByOrNull { it.second } ?: return null
+        return RefusedPart(suspect.id, suspect.separateCrashes, wait.coerceAtLeast(0))
     }
 
     /** Releases [part], because an operator has deleted its item. */
@@ -152,11 +174,11 @@
         val isExplained = suspect.separateCrashesWithout(others) <= UNEXPLAINED_CRASHES
         val dueMillis = suspect.lastCrashMillis + (if (isExplained) 0 else pauseMillis(suspect))
         val trialEndMillis = suspect.trialMillis?.let { it + trialPauseMillis } ?: dueMillis
-        return maxOf(dueMillis + trialDelayMillis(suspect.id), trialEndMillis) - loop.nowMillis()
+        return maxOf(dueMillis, trialEndMillis) - loop.nowMillis()
     }
 
     private fun pauseMillis(suspect: SuspectPart): Long =
-        trialPauseMillis shl (suspect.separateCrashes - REFUSING_CRASHES).coerceAtLeast(0)
+        trialPauseMillis shl suspect.failedTrials(trialPauseMillis / 2)
 
     private fun addCrash(part: PromptPartId, crash: EngineCrashId, millis: Long, isOwn: Boolean) {
         if (loop.nowMillis() - millis >= SUSPICION_LIFETIME_MILLIS) return
@@ -166,9 +188,9 @@
         if (wasCleared || wasAnsweredSince) return clear(part, listOf(crash), tell = !isOwn)
         val suspect = suspects.getOrPut(part) { SuspectPart(part) }
         val wasRefused = suspect.isRefused
-        if (!suspect.addCrash(crash, millis)) return
+        val isNew = suspect.addCrash(crash, millis)
         val isNewlyRefused = suspect.isRefused && !wasRefused
-        if (isOwn || isNewlyRefused) suspect.changedMillis = loop.nowMillis()
+        if ((isNew && isOwn) || isNewlyRefused) suspect.changedMillis = loop.nowMillis()
         if (isNewlyRefused) recorder.event("prompt-part.refused") { describe(suspect) }
         if (suspects.size > SUSPECT_PART_LIMIT) suspects -= suspects.values.minBy { it.separateCrashes }.id
     }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/RefusedPart.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/RefusedPart.kt
@@ -7,6 +7,9 @@
     val part: PromptPartId,
     /** Engines that crashed. */
     val crashes: Int,
-    /** Milliseconds until a request with the part may be tried again. */
+    /** Milliseconds until a request with the part may be tried again; 0 when this one may. */
     val retryAfterMillis: Long,
-)
+) {
+    /** True when this VM may ask for the trial. */
+    val isTrialDue: Boolean get() = retryAfterMillis <= 0
+}
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/StoredPromptParts.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/StoredPromptParts.kt
@@ -15,7 +15,8 @@
 
 /**
  * Keeps the refused prompt parts in the platform's store, so that they outlive the loss of all VMs. One VM writes them,
- * all read them. Operators release a part by deleting its item. Used on the serving loop.
+ * all read them. A VM that begins a trial changes the item on the condition that no other VM has. Operators release a
+ * part by deleting its item. Used on the serving loop.
  */
 @OptIn(ExperimentalSerializationApi::class)
 internal class StoredPromptParts(
@@ -23,11 +24,12 @@
     private val loop: ServingLoop,
     private val quarantine: PromptQuarantine,
     private val recorder: EventRecorder,
-) {
+) : TrialClaims {
+    private class Stored(val crashes: Set<EngineCrashId>, val revision: Long)
+
     private val codec = Cbor { preferCborLabelsOverNames = true }
 
-    /** Crashes in the item of each stored part. */
-    private val storedCrashes = HashMap<PromptPartId, Set<EngineCrashId>>()
+    private val storedParts = HashMap<PromptPartId, Stored>()
     private var isWriting = false
 
     /** Applies an item that was written or read. */
@@ -38,7 +40,7 @@
         } catch (failure: SerializationException) {
             return recordUnreadable(item, failure.message)
         }
-        storedCrashes[part] = stored.report.crashAges.keys
+        storedParts[part] = Stored(stored.report.crashAges.keys, item.revision)
         val elapsedMillis = (loop.wallMillis() - stored.writtenWallMillis).coerceAtLeast(0)
         quarantine.apply(stored.report.olderBy(elapsedMillis))
     }
@@ -46,15 +48,24 @@
     /** Releases the part whose item was deleted. */
     fun onKeyRemoved(key: String) {
         val part = PromptPartId.parse(key.removePrefix(KEY_PREFIX)) ?: return
-        if (storedCrashes.remove(part) != null) quarantine.release(part)
+        if (storedParts.remove(part) != null) quarantine.release(part)
+    }
+
+    override fun claim(report: PromptPartReport, reply: (Boolean) -> Unit) {
+        val key = KEY_PREFIX + report.part
+        val condition = mapOf(key to (storedParts[report.part]?.revision ?: 0))
+        store.write(StoreWrite(condition, listOf(StorePut(key, encode(report), lease = 0)))) { result ->
+            result.fold({}) { storedParts[report.part] = Stored(report.crashAges.keys, it) }
+            reply(result.isRight())
+        }
     }
 
     /** Writes what has changed since the items were written; called at the placement holder. */
     fun writeChanges() {
         if (isWriting) return
         val refused = quarantine.refusedParts
-        val changed = refused.filter { storedCrashes[it.id] != it.crashes.keys }.take(WRITTEN_PARTS)
-        val released = storedCrashes.keys.filter { part -> refused.none { it.id == part } }.take(WRITTEN_PARTS)
+        val changed = refused.filter { storedParts[it.id]?.crashes != it.crashes.keys }.take(WRITTEN_PARTS)
+        val released = storedParts.keys.filter { part -> refused.none { it.id == part } }.take(WRITTEN_PARTS)
         if (changed.isEmpty() && released.isEmpty()) return
         isWriting = true
         val reports = changed.map { quarantine.reportOf(it) }
@@ -62,10 +73,10 @@
         store.write(StoreWrite(puts = puts, deletes = released.map { KEY_PREFIX + it })) { result ->
             result.fold(
                 { loop.schedule(REGISTRATION_RETRY_MILLIS) { isWriting = false } },
-                {
+                { revision ->
                     isWriting = false
-                    reports.forEach { storedCrashes[it.part] = it.crashAges.keys }
-                    storedCrashes -= released.toSet()
+                    reports.forEach { storedParts[it.part] = Stored(it.crashAges.keys, revision) }
+                    storedParts -= released.toSet()
                 },
             )
         }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/SuspectPart.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/SuspectPart.kt
@@ -12,6 +12,12 @@
     /** Start of the last trial of any VM, or null. */
     var trialMillis: Long? = null
 
+    /** True while this VM asks for the next trial. */
+    var isClaimingTrial = false
+
+    /** Time until which this VM may send one request as a trial. */
+    var trialPermitUntilMillis = Long.MIN_VALUE / 2
+
     /** Requests that this VM has refused for the part. */
     var refusedRequests = 0L
 
@@ -25,16 +31,24 @@
     var separateCrashes = 0
         private set
 
+    /** Number of crashes more than [burstMillis] after the part began to be refused, which trials have caused. */
+    fun failedTrials(burstMillis: Long): Int {
+        val refusedSinceMillis = crashMillis.values.sorted().getOrNull(REFUSING_CRASHES - 1) ?: return 0
+        return crashMillis.values.count { it > refusedSinceMillis + burstMillis }
+    }
+
     /** True when requests with the part are refused. */
     val isRefused: Boolean get() = separateCrashes >= REFUSING_CRASHES
 
     /** Adds a crash; false when it is known, or older than all that are remembered. */
     fun addCrash(id: EngineCrashId, millis: Long): Boolean {
-        if (id in crashMillis) return false
+        val knownMillis = crashMillis[id]
+        // A report on its way only makes a crash appear later, so the earliest time is the best known one.
+        if (knownMillis != null && knownMillis <= millis) return false
         crashMillis[id] = millis
         if (crashMillis.size > REMEMBERED_CRASHES) crashMillis -= crashMillis.minBy { it.value }.key
         separateCrashes = countSeparate(crashMillis.values)
-        return id in crashMillis
+        return knownMillis == null && id in crashMillis
     }
 
     /** Removes [ids]; false when none of them is known. */
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/Peers.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/Peers.kt
@@ -3,7 +3,6 @@
 import dev.bergamotwind.api.FailureDomainId
 import dev.bergamotwind.api.VmId
 import dev.bergamotwind.serving.ServingLoop
-import dev.bergamotwind.serving.targets.StableHash
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
@@ -53,19 +52,6 @@
         return states.values.filter { it.isReachable(now) }.mapNotNull { it.heartbeat }
     }
 
-    /**
-     * Returns the milliseconds that this VM waits for those that come before it in an order that depends on [key], each
-     * for two heartbeats: enough to hear that one of them has begun what only one VM should do.
-     */
-    internal fun turnDelayMillis(key: Long): Long {
-        val now = loop.nowMillis()
-        val own = turnOf(ownVm, key)
-        val earlier = states.count { (vm, peer) -> peer.isReachable(now) && turnOf(vm, key) < own }
-        return earlier * HEARTBEATS_PER_TURN * maxOf(heartbeatIntervalMillis(), CROSS_REGION_HEARTBEAT_INTERVAL_MILLIS)
-    }
-
-    private fun turnOf(vm: VmId, key: Long): Long = StableHash.hash(key xor vm.value.hashCode().toLong())
-
     /** Handles the registration of a VM. */
     public fun onRegistered(member: PeerMember) {
         if (member.vm == ownVm) return
@@ -160,9 +146,4 @@
         MIN_HEARTBEAT_INTERVAL_MILLIS,
         MAX_HEARTBEAT_INTERVAL_MILLIS,
     )
-
-    private companion object {
-        /** Heartbeats in which a VM hears of another one's step although one of them is lost. */
-        const val HEARTBEATS_PER_TURN = 2
-    }
 }
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/EngineFleet.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/EngineFleet.kt
@@ -15,6 +15,7 @@
 import dev.bergamotwind.serving.call.TargetRequest
 import dev.bergamotwind.serving.catalogue.RouteKind
 import dev.bergamotwind.serving.catalogue.ServedConfiguration
+import dev.bergamotwind.serving.placement.TargetReport
 import dev.bergamotwind.serving.store.StoreItem
 import dev.bergamotwind.serving.targets.TargetRecord
 import java.net.InetSocketAddress
@@ -26,7 +27,7 @@
  * as the answer begins: all attempts there are broken off, connections are refused, and the engine is back under
  * another id after [downMillis].
  */
-class EngineFleet(vmCount: Int, engineCount: Int, private val answerMillis: Long = 300) {
+class EngineFleet(val vmCount: Int, engineCount: Int, private val answerMillis: Long = 300) {
     private class Run(val engine: String, val listener: AttemptListener) {
         var isOver = false
     }
@@ -34,6 +35,9 @@
     /** A request that reached an engine. */
     class Arrival(val atMillis: Long, val vm: String, parts: List<Long>) : List<Long> by parts
 
+    /** The end of an engine, with the part that caused it, or null. */
+    data class Crash(val atMillis: Long, val part: Long?)
+
     /** One process of a VM; its timers stop when it is killed. */
     private inner class Process(val name: String, number: Int) : ServingLoop {
         var isAlive = true
@@ -45,7 +49,9 @@
                 layout = StoreLayout("", "configuration", "targets/"),
                 decoder = Decoder(),
                 transport = { target, request, listener -> send(name, target, request, listener) },
-                orders = FakeOrders(),
+                orders = FakeOrders().apply {
+                    onReport = { TargetReport(it.models, false, 0).takeIf { _ -> it.id.value in engines.values } }
+                },
                 peers = { address, bytes -> if (isAlive) deliver(name, address, bytes) },
                 refusalHeaders = { _, _ -> emptyList() },
                 callers = {},
@@ -66,7 +72,7 @@
     val store = FakeStore(loop)
     val deadlyParts = mutableSetOf<Long>()
     val arrivals = mutableListOf<Arrival>()
-    val crashMillis = mutableListOf<Long>()
+    val crashes = mutableListOf<Crash>()
     val unreachableVms = mutableSetOf<String>()
 
     /** Events that the VMs recorded, by kind. */
@@ -105,7 +111,9 @@
     }
 
     /** Crashes the engine in [slot], for a cause of its own. */
-    fun crash(slot: Int): Unit = crash(engines.getValue(slot))
+    fun crash(slot: Int) {
+        engines[slot]?.let { crash(it, null) }
+    }
 
     private fun send(vm: String, target: TargetRecord, request: TargetRequest, listener: AttemptListener): Attempt {
         val run = Run(target.id.value, listener)
@@ -128,7 +136,7 @@
     private fun begin(run: Run, call: Call) {
         if (run.isOver) return
         val parts = call.modelRequest?.parts.orEmpty().map { it.id.value }
-        if (parts.any { it in deadlyParts }) return crash(run.engine)
+        parts.firstOrNull { it in deadlyParts }?.let { return crash(run.engine, it) }
         run.listener.onHead(ResponseHead(200, emptyList(), false, false, false, true, true, null))
         continueRun(run, 1)
     }
@@ -150,10 +158,10 @@
         }
     }
 
-    private fun crash(id: String) {
+    private fun crash(id: String, part: Long?) {
         val slot = engines.entries.first { it.value == id }.key
         engines -= slot
-        crashMillis += loop.nowMillis()
+        crashes += Crash(loop.nowMillis(), part)
         runs.filter { it.engine == id && !it.isOver }.forEach {
             it.isOver = true
             it.listener.onInterrupted("the connection ended")
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/ServingVmSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/ServingVmSpec.kt
@@ -175,19 +175,42 @@
         assertTrue(exchange.isComplete)
     }
 
-    @Test
-    fun `a stream is aborted when its resumption fails`() {
+    data class ResumptionCase(val name: String, val end: (FakeTargets.Sent) -> Unit) {
+        override fun toString() = name
+    }
+
+    // Guards against the text or head of another answer within a stream, and a broken stream that looks complete.
+    @ParameterizedTest
+    @MethodSource("failedResumptions")
+    fun `a stream is aborted and nothing is added to it when its resumption ends with`(case: ResumptionCase) {
         val route = Samples.route(RouteKind.STREAMING, isResumable = true)
         val testVm = TestVm(Samples.configuration(route), listOf(Samples.record("t1"), Samples.record("t2")))
         val exchange = testVm.serve()
         testVm.targets.sent[0].head(200)
         testVm.targets.sent[0].event(1)
         testVm.targets.sent[0].listener.onInterrupted("reset")
-        testVm.targets.sent[1].answer(404)
+        case.end(testVm.targets.sent[1])
+        assertEquals("id: 1\ndata: token1\n\n", exchange.body)
         assertTrue(exchange.isAborted)
         assertFalse(exchange.isComplete)
     }
 
+    // Guards against a response without a length that a crashed engine closed before its first event: the caller would
+    // take the empty stream for a complete one.
+    @Test
+    fun `a stream that ends without an event is not an answer`() {
+        val route = Samples.route(RouteKind.STREAMING, isResumable = true)
+        val testVm = TestVm(Samples.configuration(route), listOf(Samples.record("t1"), Samples.record("t2")))
+        val exchange = testVm.serve()
+        testVm.targets.sent[0].head(200)
+        testVm.targets.sent[0].listener.onComplete()
+        testVm.targets.sent[1].head(200)
+        testVm.targets.sent[1].event(1)
+        testVm.targets.sent[1].listener.onComplete()
+        assertEquals("id: 1\ndata: token1\n\n", exchange.body)
+        assertTrue(exchange.isComplete)
+    }
+
     @Test
     fun `a broken stream that cannot be resumed is aborted and never completed`() {
         val route = Samples.route(RouteKind.STREAMING)
@@ -466,6 +489,16 @@
             AttemptEndCase(name, kind.first, kind.second, end, outcome.first, outcome.second)
         }
 
+        @JvmStatic
+        fun failedResumptions() = listOf(
+            ResumptionCase("a failure of the target") { it.answer(404) },
+            ResumptionCase("a server error") { it.answer(500) },
+            ResumptionCase("a refusal") { it.answer(503, notRun = true) },
+            ResumptionCase("an answer to another request") { it.head(200, isOwn = false) },
+            ResumptionCase("an unsigned answer") { it.answer(200, isSigned = false) },
+            ResumptionCase("a connection that ends before the head") { it.listener.onInterrupted("closed") },
+        )
+
         // A pause may last 400 ms, and a silence of four such pauses ends an attempt.
         @JvmStatic
         fun streamPaces() = listOf(
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/crash/EngineCrashDetectorSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/crash/EngineCrashDetectorSpec.kt
@@ -41,7 +41,7 @@
     fun `names the parts that may have crashed an engine when`(case: CrashCase) {
         val loop = ManualLoop()
         val crashes = mutableListOf<EngineCrash>()
-        val detector = EngineCrashDetector(loop, EventRecorder.None, CONFIRMATION_MILLIS) { crashes += it }
+        val detector = EngineCrashDetector(loop, EventRecorder.None, CONFIRMATION_MILLIS, { _, _ -> }) { crashes += it }
         val target = TargetState(Samples.record("e1", Samples.engines, lifecycle = case.lifecycle, started = 7), 0)
         for (step in case.steps) {
             val now = loop.nowMillis()
