--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallHandler.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallHandler.kt
@@ -3,7 +3,6 @@
 import dev.bergamotwind.api.CallerExchange
 import dev.bergamotwind.serving.catalogue.ServedRoute
 import dev.bergamotwind.serving.catalogue.ServedTeam
-import dev.bergamotwind.serving.crash.RefusedPart
 import dev.bergamotwind.serving.peer.AdapterUse
 import dev.bergamotwind.serving.targets.TargetChoice
 import dev.bergamotwind.serving.targets.TargetCriteria
@@ -116,10 +115,20 @@
         val service = route.service(progress.serviceFraction)?.let { configuration?.services?.get(it) }
             ?: return refuse(Refusal(RefusalKind.UNAVAILABLE, "the route has no service", SHORT_RETRY_AFTER_MILLIS))
         progress.service = service
-        call.modelRequest?.let(context.quarantine::refusal)?.let { return handleRefusedPart(it) }
         val criteria = progress.targetCriteria(service, call.modelRequest, progress.excludedTargets)
+        val refused = call.modelRequest?.let(context.quarantine::refusal)
         val choice = context.picker.pick(criteria)
         when {
+            refused != null && refused.isTrialDue && !progress.mayHaveRun -> {
+                waitForTargets(
+                    CONNECT_TIMEOUT_MILLIS,
+                    "the trial of part ${refused.part} of the prompt was not decided",
+                )
+                context.quarantine.claimTrial(refused.part, context::scheduleWakeUp)
+            }
+
+            refused != null -> refuse(progress.quarantineRefusal(refused))
+
             choice == null -> handleNoTarget(criteria)
 
             choice.predictedMillis > progress.predictedLatencyLimitMillis -> refuse(
@@ -132,15 +141,6 @@
         }
     }
 
-    private fun handleRefusedPart(refused: RefusedPart) {
-        if (refused.isTrialDue && !progress.mayHaveRun) {
-            waitForTargets(CONNECT_TIMEOUT_MILLIS, "the trial of part ${refused.part} of the prompt was not decided")
-            return context.quarantine.claimTrial(refused.part, context::scheduleWakeUp)
-        }
-        context.quarantine.onRefused(refused.part)
-        refuse(progress.quarantineRefusal(refused))
-    }
-
     private fun handleNoTarget(criteria: TargetCriteria) {
         val modelRequest = call.modelRequest
         val remaining = progress.remainingToFirstEventMillis
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/PromptQuarantine.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/PromptQuarantine.kt
@@ -13,8 +13,8 @@
  *
  * A part is suspected when an unanswered request with it was at an engine that crashed, and cleared when a request with
  * it is answered. After [REFUSING_CRASHES] crashes without an answer its requests are refused. From time to time one of
- * them is sent to an engine as a trial; each failed trial doubles the time until the next one. VMs share crashes and answers,
- * so that one VM's knowledge outlives it. Used on the serving loop.
+ * them is sent to an engine as a trial; each failed trial doubles the time until the next one. VMs share crashes and
+ * answers, so that one VM's knowledge outlives it. Used on the serving loop.
  */
 internal class PromptQuarantine(
     private val loop: ServingLoop,
@@ -75,7 +75,8 @@
     }
 
     /** Takes note that an engine did not accept the trial [request], so it has shown nothing and may be repeated. */
-    fun onTrialNotRun(request: ModelRequest): Unit = refusedIn(request).forEach(::permitTrial)
+    fun onTrialNotRun(request: ModelRequest): Unit =
+        refusedIn(request).forEach { it.permitTrial(loop.nowMillis(), trialPauseMillis) }
 
     /**
      * Asks for the trial of [part]; [onDecided] is called when it has been decided. No VM can begin another trial
@@ -90,25 +91,17 @@
             // Without the claim another VM has just begun a trial, or the store cannot tell.
             suspect.trialMillis = loop.nowMillis()
             suspect.changedMillis = loop.nowMillis()
-            if (isGranted) permitTrial(suspect)
+            if (isGranted) suspect.permitTrial(loop.nowMillis(), trialPauseMillis)
             onDecided()
         }
     }
 
-    private fun permitTrial(suspect: SuspectPart) {
-        suspect.trialPermitUntilMillis = loop.nowMillis() + trialPauseMillis / 2
-    }
-
-    /** Takes note that a request was refused for [part]. */
-    fun onRefused(part: PromptPartId) {
-        suspects[part]?.let { it.refusedRequests++ }
-    }
-
     /** Returns why [request] must not be sent to an engine now, or null. */
     fun refusal(request: ModelRequest): RefusedPart? {
         val parts = request.sharedParts.mapTo(HashSet()) { it.id }
         val (suspect, wait) = refusedIn(request).filter { it.trialPermitUntilMillis <= loop.nowMillis() }
             .map { it to millisUntilTrial(it, parts) }.maxByOrNull { it.second } ?: return null
+        if (wait > 0) suspect.refusedRequests++
         return RefusedPart(suspect.id, suspect.separateCrashes, wait.coerceAtLeast(0))
     }
 
@@ -121,7 +114,7 @@
     fun reports(): List<PromptPartReport> {
         if (suspects.isEmpty() && cleared.isEmpty()) return emptyList()
         val now = loop.nowMillis()
-        val shared = suspects.values.filter { isShared(it, now) }.sortedByDescending { it.crashes.size }
+        val shared = suspects.values.filter { it.isShared(now) }.sortedByDescending { it.crashes.size }
         val sharedCleared = cleared.filterValues { now - it.changedMillis < PEER_TIMEOUT_MILLIS }
         return (shared.map(::reportOf) + sharedCleared.map { PromptPartReport(it.key, clearedCrashes = it.value.ids) })
             .take(REPORTED_PART_LIMIT)
@@ -208,12 +201,6 @@
         if (suspect.crashes.isEmpty()) suspects -= part
     }
 
-    private fun isShared(suspect: SuspectPart, now: Long): Boolean {
-        val periods = (now - suspect.changedMillis) / PEER_TIMEOUT_MILLIS
-        // Repeated for VMs that were cut off when it changed.
-        return periods == 0L || (suspect.isRefused && periods % REPETITION_PERIODS == 0L)
-    }
-
     private fun recordRelease(suspect: SuspectPart, reason: String) {
         recorder.event("prompt-part.released") {
             field("part", suspect.id)
@@ -233,8 +220,5 @@
     private companion object {
         /** Crashes of a part beside another one that a cause outside of requests may explain. */
         const val UNEXPLAINED_CRASHES = 1
-
-        /** A refused part is shared in one of so many periods of [PEER_TIMEOUT_MILLIS]. */
-        const val REPETITION_PERIODS = 4L
     }
 }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/SuspectPart.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/SuspectPart.kt
@@ -1,6 +1,7 @@
 package dev.bergamotwind.serving.crash
 
 import dev.bergamotwind.serving.call.PromptPartId
+import dev.bergamotwind.serving.peer.PEER_TIMEOUT_MILLIS
 
 /** A prompt part that was among the suspects of crashes and has not been answered soundly since. */
 internal class SuspectPart(val id: PromptPartId) {
@@ -62,6 +63,17 @@
     fun separateCrashesWithout(others: List<SuspectPart>): Int =
         countSeparate(crashMillis.filterKeys { id -> others.none { id in it.crashMillis } }.values)
 
+    /** Lets this VM send one request as a trial, for half of [trialMillis]; then the claim is void. */
+    fun permitTrial(nowMillis: Long, trialMillis: Long) {
+        trialPermitUntilMillis = nowMillis + trialMillis / 2
+    }
+
+    /** True while the other VMs have to be told; a refused part is repeated for those that were cut off. */
+    fun isShared(nowMillis: Long): Boolean {
+        val periods = (nowMillis - changedMillis) / PEER_TIMEOUT_MILLIS
+        return periods == 0L || (isRefused && periods % REPETITION_PERIODS == 0L)
+    }
+
     private fun countSeparate(times: Collection<Long>): Int {
         var count = 0
         var lastMillis = Long.MIN_VALUE / 2
@@ -72,4 +84,9 @@
         }
         return count
     }
+
+    private companion object {
+        /** A refused part is shared in one of so many periods of [PEER_TIMEOUT_MILLIS]. */
+        const val REPETITION_PERIODS = 4L
+    }
 }
--- a/bergamotwind-transport/src/test/kotlin/dev/bergamotwind/transport/HttpListenerSpec.kt
+++ b/bergamotwind-transport/src/test/kotlin/dev/bergamotwind/transport/HttpListenerSpec.kt
@@ -6,14 +6,12 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
-import java.io.IOException
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
-import kotlin.concurrent.thread
 
 /** Guards the callers' side: whole requests in order, broken answers that do not look whole, callers who leave. */
 class HttpListenerSpec {
@@ -107,13 +105,7 @@
             full.get(5, TimeUnit.SECONDS)
             assertTrue(!writable.isDone)
             // Reads on another thread: the last byte may be read before the listener tells that it has caught up.
-            thread(isDaemon = true) {
-                try {
-                    while (!writable.isDone) socket.getInputStream().read(ByteArray(65_536))
-                } catch (closed: IOException) {
-                    // The test has ended.
-                }
-            }
+            CompletableFuture.runAsync { while (!writable.isDone) socket.getInputStream().read(ByteArray(65_536)) }
             writable.get(5, TimeUnit.SECONDS)
         }
     }
