--- a/review/stand-ins/Plain.java
+++ b/review/stand-ins/Plain.java
@@ -6,9 +6,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A server of a plain service: registers itself in the store and answers every request after a short time. */
 final class Plain implements AutoCloseable {
+    private static final int SLOTS = 6;
+    private static final int QUEUE = 24;
+
     /** A request that this server ran. */
     record Run(double seconds, String id, String path, String tenant, String method, int bodyBytes) {
     }
@@ -22,6 +27,8 @@
     private final Http.Server server;
     private final long born = System.currentTimeMillis();
     private final long workMillis;
+    private final Semaphore slots = new Semaphore(SLOTS, true);
+    private final AtomicInteger present = new AtomicInteger();
     private volatile String state = "ready";
     private volatile boolean closed;
     private long beats;
@@ -52,7 +59,7 @@
     private synchronized void beat() {
         if (closed) return;
         store.put("servers/" + id, Json.of("service", service, "address",
-            address.getHostString() + ":" + address.getPort(), "zone", "lowlands-a", "version", "v1", "slots", 6,
+            address.getHostString() + ":" + address.getPort(), "zone", "lowlands-a", "version", "v1", "slots", SLOTS,
             "state", state, "coldRemainingMs", 0, "sequence", ++beats, "born", born));
     }
 
@@ -64,14 +71,22 @@
         }
         String requestId = request.headers.getOrDefault("Request-Id", "");
         String tenant = request.headers.get("Tenant");
+        if (present.incrementAndGet() > SLOTS + QUEUE) {
+            present.decrementAndGet();
+            connection.answer(503, Map.of("Request-Id", requestId, "Not-Executed", "1"), new byte[0]);
+            return;
+        }
+        slots.acquire();
         runs.add(new Run(record.seconds(), requestId, request.path(), tenant, request.method(), request.body.length));
         record.line(id, "runs " + requestId + " " + request.path() + " for tenant " + tenant
             + (request.body.length > 0 ? ", body of " + request.body.length + " bytes" : ""));
         Thread.sleep(workMillis);
+        slots.release();
+        present.decrementAndGet();
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("Request-Id", requestId);
         headers.put("Response-Signature", id + "." + requestId);
-        headers.put("Server-Load", "1,0,6");
+        headers.put("Server-Load", Math.min(present.get(), SLOTS) + "," + Math.max(0, present.get() - SLOTS) + "," + SLOTS);
         headers.put("Instance-Id", id);
         connection.answer(200, headers, ("done " + requestId).getBytes());
     }
