--- a/review/1/UnreadableEntry.java
+++ b/review/1/UnreadableEntry.java
@@ -85,7 +85,7 @@
         record.line("test", "after the replacement " + served + " of 10 proper requests are served");
         one.signal("KILL");
         one.awaitEnd(2_000);
-        one.start();
+        one.restart();
         boolean ready = one.awaitReady(15_000);
         record.line("test", "a VM that was killed and started again " + (ready ? "is ready" : "is not ready after 15 s"));
     }
--- a/review/stand-ins/Vm.java
+++ b/review/stand-ins/Vm.java
@@ -68,11 +68,24 @@
         record.line(name, "started");
     }
 
+    /** Starts the process again; the system as a whole does not start for the first time then. */
+    void restart() throws IOException {
+        Files.writeString(settings, Files.readString(settings).replace("\"bootstrap\":true", "\"bootstrap\":false"));
+        start();
+    }
+
     boolean isReady() {
         Http.Message answer = Http.exchange(readiness, "GET", "/ready", Map.of("Host", ip), new byte[0], 500);
         return answer != null && answer.status() == 200;
     }
 
+    /** The text at the metrics address of the deploy file, the second internal port; empty when there is no answer. */
+    String metrics() {
+        InetSocketAddress address = new InetSocketAddress(ip, front.getPort() + 3);
+        Http.Message answer = Http.exchange(address, "GET", "/metrics", Map.of("Host", ip), new byte[0], 500);
+        return answer == null ? "" : answer.text();
+    }
+
     /** Waits until the process answers the readiness check with 200; false after [millis]. */
     boolean awaitReady(long millis) throws InterruptedException {
         long end = System.nanoTime() + millis * 1_000_000;
