--- a/review/stand-ins/Engine.java
+++ b/review/stand-ins/Engine.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -27,6 +29,9 @@
     final List<Order> orders = new CopyOnWriteArrayList<>();
     final List<Run> runs = new CopyOnWriteArrayList<>();
     private final Map<String, Set<String>> models = new LinkedHashMap<>();
+    /** Running requests by model and by adapter, and adapters that leave with their last request. */
+    private final Map<String, Integer> uses = new HashMap<>();
+    private final Set<String> leaving = new HashSet<>();
     private final String service;
     private final InetSocketAddress published;
     private final int adapterSlots;
@@ -85,7 +90,7 @@
             Object report;
             synchronized (this) {
                 report = Json.of("stage", "both", "models", modelFields(), "busy", busy, "sequence", accepted,
-                    "queueDepth", 0, "activeRequests", 0, "kvUsed", 0, "kvTotal", 137551, "handles", 0);
+                    "queueDepth", 0, "activeRequests", 0, "kvUsed", 0, "kvTotal", 137551, "handles", 0, "born", born);
             }
             connection.json(200, report);
         } else if (request.path().equals("/order")) {
@@ -129,6 +134,10 @@
                 });
                 return 202;
             }
+            if (uses.getOrDefault(model + "/" + adapter, 0) > 0) {
+                leaving.add(model + "/" + adapter);
+                return 202;
+            }
             adapters.remove(adapter);
             return 200;
         }
@@ -138,6 +147,7 @@
         Http.thread("operation", () -> {
             Thread.sleep(load ? MODEL_LOAD_MILLIS : 100);
             synchronized (this) {
+                while (!load && uses.getOrDefault(model, 0) > 0) wait();
                 if (load) models.put(model, new LinkedHashSet<>());
                 else models.remove(model);
                 busy = false;
@@ -152,13 +162,38 @@
         String model = request.headers.getOrDefault("Model", "");
         boolean held;
         synchronized (this) {
+            if (leaving.contains(model)) {
+                connection.answer(503, Map.of("Request-Id", requestId, "Not-Executed", "1"), new byte[0]);
+                return;
+            }
             Set<String> adapters = models.get(model.split("/")[0]);
             held = adapters != null && (!model.contains("/") || adapters.contains(model.split("/")[1]));
+            if (held) use(model, 1);
         }
         if (!held) {
             connection.answer(421, Map.of("Instance-Id", id), new byte[0]);
             return;
         }
+        try {
+            run(request, connection, requestId, model);
+        } finally {
+            synchronized (this) {
+                use(model, -1);
+            }
+        }
+    }
+
+    /** Counts a request for [model], which may name an adapter; the last one of an adapter that leaves ends it. */
+    private void use(String model, int change) {
+        String base = model.split("/")[0];
+        uses.merge(base, change, Integer::sum);
+        if (!model.equals(base) && uses.merge(model, change, Integer::sum) == 0 && leaving.remove(model)) {
+            models.getOrDefault(base, Set.of()).remove(model.split("/")[1]);
+        }
+        notifyAll();
+    }
+
+    private void run(Http.Message request, Http.Connection connection, String requestId, String model) throws Exception {
         String tenant = request.headers.get("Tenant");
         runs.add(new Run(record.seconds(), requestId, tenant, model));
         record.line(id, "runs " + requestId + " on " + model + " for tenant " + tenant);
--- a/review/stand-ins/Store.java
+++ b/review/stand-ins/Store.java
@@ -182,11 +182,13 @@
     private void transact(Map<String, Object> body, Http.Connection connection) throws IOException {
         int status = 200;
         long written;
+        List<Object> current = new ArrayList<>();
         synchronized (this) {
             for (Object each : (List<Object>) body.getOrDefault("expected", List.of())) {
                 Map<String, Object> expected = (Map<String, Object>) each;
                 Item item = items.get((String) expected.get("key"));
                 long known = item == null ? 0 : item.revision;
+                if (item != null) current.add(item.fields());
                 if (known != ((Number) expected.get("revision")).longValue()) status = 412;
             }
             List<Object> puts = (List<Object>) body.getOrDefault("puts", List.of());
@@ -208,7 +210,7 @@
             }
             written = revision;
         }
-        connection.json(status, status == 200 ? Json.of("revision", written) : Json.of("items", List.of()));
+        connection.json(status, status == 200 ? Json.of("revision", written) : Json.of("items", current));
     }
 
     private static boolean isForbidden(String key) {
