Report answers that do not belong to the request that waits for one

The log told an answer to another request from a failure of the target by nothing. A request now states the header that its answer repeats. An answer that names another request, names none on a connection that has carried others, or comes while no request waits is recorded as answer.foreign with its sender and status. No decision changes.

--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/entry/EntryProcess.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/entry/EntryProcess.kt
@@ -29,7 +29,7 @@
     private val recorder = MetricsRecorder(log)
     private val loop = EventLoop()
     private val servingLoop = NettyServingLoop(loop)
-    private val dialer = HttpDialer(loop)
+    private val dialer = HttpDialer(loop, ::recordForeignAnswer)
     private val callers = HttpListener(loop, ::limits) { request, exchange ->
         vm.serve(CallCodec.decode(request), exchange)
     }
@@ -70,6 +70,13 @@
         recorder = recorder,
     )
 
+    private fun recordForeignAnswer(sender: InetSocketAddress, description: String) {
+        recorder.event("answer.foreign") {
+            field("sender", "${sender.hostString}:${sender.port}")
+            field("answer", description)
+        }
+    }
+
     private fun recordUnreadable(source: String, fault: String) {
         recorder.event("answer.unreadable") {
             field("source", source)
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/ClientConnection.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/ClientConnection.kt
@@ -31,6 +31,7 @@
     private var reusable = false
     private var failure: String? = null
     private var interimAnswers = 0
+    private var requests = 0
     private var idleSinceNanos = 0L
     private var statedIdleMillis: Long? = null
 
@@ -75,7 +76,7 @@
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
-            if (call == null) close() else receive(message)
+            if (call == null) receiveUnexpected(message) else receive(message)
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -102,6 +103,7 @@
             return started.notSent("the request cannot be written: ${failure.message}")
         }
         call = started
+        requests++
         started.connection = this
         if (started.request.resetsIfUnanswered) channelContext.channel().config().setOption(ChannelOption.SO_LINGER, 0)
         requestWritten = false
@@ -126,6 +128,11 @@
         return message
     }
 
+    private fun receiveUnexpected(message: Any) {
+        if (message is HttpResponse) reportForeign("an answer with status ${message.status().code()} to no request")
+        close()
+    }
+
     private fun receive(message: Any) {
         if (message is HttpResponse) begin(message)
         if (message is HttpContent) append(message)
@@ -144,6 +151,7 @@
             }
             return
         }
+        foreignDescription(response, current.request)?.let(::reportForeign)
         answerStarted = true
         // A faulty target may write a refusal once more. It names no request, so it would answer the next one.
         reusable = response.status().codeClass() == HttpStatusClass.SUCCESS && HttpUtil.isKeepAlive(response) &&
@@ -152,6 +160,23 @@
         current.head(response.status().code(), response.headers().map { Header(it.key, it.value) })
     }
 
+    /** Returns why [response] does not belong to [request], or null when it may. */
+    private fun foreignDescription(response: HttpResponse, request: OutgoingRequest): String? {
+        val expected = request.echoedHeader ?: return null
+        val echoed = response.headers().getAll(expected.name)
+        val status = response.status().code()
+        return when {
+            echoed.any { it != expected.value } -> "an answer with status $status to another request"
+
+            echoed.isEmpty() && requests > 1 ->
+                "an answer with status $status to one of $requests requests, without naming it"
+
+            else -> null
+        }
+    }
+
+    private fun reportForeign(description: String) = dialer.onForeignAnswer(address, description)
+
     private fun append(content: HttpContent) {
         val current = call ?: return
         if (content.decoderResult().isFailure) {
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/HttpDialer.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/HttpDialer.kt
@@ -14,7 +14,11 @@
  * Sends requests over kept or new connections. One request at a time uses a connection, nothing is ever sent twice,
  * and a connection is kept only after a success that was complete and announced no end. Used on the event loop.
  */
-public class HttpDialer(private val loop: EventLoop) {
+public class HttpDialer(
+    private val loop: EventLoop,
+    /** Hears of an answer that does not belong to the request that waits for one, with its sender and a description. */
+    internal val onForeignAnswer: (InetSocketAddress, String) -> Unit = { _, _ -> },
+) {
     private val kept = HashMap<InetSocketAddress, ArrayDeque<ClientConnection>>()
 
     /** Sends [request] to [address]; [listener] hears what becomes of it, never before this returns. */
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/OutgoingRequest.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/OutgoingRequest.kt
@@ -26,4 +26,9 @@
      * kernel then drops the bytes that it has not delivered yet, instead of sending them again until a cut has healed.
      */
     public val resetsIfUnanswered: Boolean = false,
+    /**
+     * The one of [headers] that the answer repeats, by which it is told from a second answer to another request; null
+     * when the target repeats none.
+     */
+    public val echoedHeader: Header? = null,
 )
