Tell answers on kept connections apart by the request that they name

Callers saw answers of other requests, and "not run" for requests that ran. A target may answer a request twice, the second time where the next answer on that connection is expected. The code told the two apart by status: a connection was kept after a success only, and an answer without an id was taken for the waiting request's own unless it was a success. Reports, orders and calls to the store, whose answers name no request, took any answer.

The transport decides now, before anybody hears of an answer. It belongs to the waiting request if it repeats the request's id, or if it names none and the connection has carried no other request. Answers that name an earlier request are skipped, so the request gets its own answer after them; an answer without an id on a connection that has carried several requests ends it as broken. A connection is kept only after an answer that named its request, whatever its status. Requests without an id, and further attempts under the same id, get a new connection.

Two cases of HttpDialerSpec are replaced: "keeps a connection after a whole answer" held for answers that name nothing, which is the fault; "does not reuse a connection after a refusal" holds for refusals that name no request, and the new table asserts what is kept by name and status. The old bound, one connection for three requests, stands for named answers.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallHandler.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallHandler.kt
@@ -199,7 +199,7 @@
             priority = modelRequest?.let { EnginePriority.rank(route, progress.team) },
             lastEventId = relay.lastEventId ?: call.lastEventId,
             connectTimeoutMillis = CONNECT_TIMEOUT_MILLIS.coerceAtMost(remaining).toInt().coerceAtLeast(1),
-            reuseIdleMillis = if (route.isRepeatable) REUSE_IDLE_MILLIS else AT_MOST_ONCE_REUSE_IDLE_MILLIS,
+            reuseIdleMillis = progress.reuseIdleMillis,
         )
         val load = context.picker.recordSent(choice, modelRequest, EnginePriority.classOf(route))
         val attempt = CallAttempt(choice, load, call, progress, relay, exchange, context, this)
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
@@ -59,6 +59,17 @@
             return minOf(remainingMillis, startedMillis + limit - context.loop.nowMillis())
         }
 
+    /**
+     * Longest idle time in milliseconds of a kept connection for the next attempt. A further attempt gets a new one,
+     * because the connection of an earlier attempt may bring a second answer to it, under the same request id.
+     */
+    val reuseIdleMillis: Long
+        get() = when {
+            sends > 0 -> 0
+            isRepeatable -> REUSE_IDLE_MILLIS
+            else -> AT_MOST_ONCE_REUSE_IDLE_MILLIS
+        }
+
     /** True when another attempt may follow one that did not run. */
     val maySendAgain: Boolean get() = sends < MAX_SENDS && remainingMillis > MIN_SERVICE_MILLIS
 
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/ClientConnection.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/ClientConnection.kt
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
@@ -21,16 +20,24 @@
 import java.io.IOException
 import java.net.InetSocketAddress
 
-/** One connection to a target. */
+/**
+ * One connection to a target.
+ *
+ * A faulty target may answer a request twice, the second time where the next answer is expected. So an answer belongs
+ * to the request that waits for one if it names that request, or if it names none and the connection has carried no
+ * other request. A connection is kept only after an answer that named its request: a copy of any other could not be
+ * told from the next answer.
+ */
 internal class ClientConnection(val address: InetSocketAddress, private val dialer: HttpDialer) :
     ChannelInboundHandlerAdapter() {
     private var context: ChannelHandlerContext? = null
     private var call: ClientCall? = null
     private var requestWritten = false
     private var answerStarted = false
+    private var isSkipping = false
     private var reusable = false
     private var failure: String? = null
-    private var interimAnswers = 0
+    private var skippedAnswers = 0
     private var requests = 0
     private var idleSinceNanos = 0L
     private var statedIdleMillis: Long? = null
@@ -108,8 +115,9 @@
         if (started.request.resetsIfUnanswered) channelContext.channel().config().setOption(ChannelOption.SO_LINGER, 0)
         requestWritten = false
         answerStarted = false
+        isSkipping = false
         reusable = false
-        interimAnswers = 0
+        skippedAnswers = 0
         val written = channelContext.writeAndFlush(message)
         written.addListener(ChannelFutureListener { if (it.isSuccess) requestWritten = true })
     }
@@ -134,54 +142,55 @@
     }
 
     private fun receive(message: Any) {
+        if (failure != null) return
         if (message is HttpResponse) begin(message)
         if (message is HttpContent) append(message)
     }
 
     private fun begin(response: HttpResponse) {
         val current = call ?: return
-        if (response.decoderResult().isFailure || answerStarted) {
-            failure = "unreadable answer"
-            return close()
-        }
-        if (response.status().code() < FIRST_FINAL_STATUS) {
-            if (++interimAnswers > INTERIM_ANSWER_LIMIT) {
-                failure = "interim answers without end"
-                close()
+        if (response.decoderResult().isFailure || answerStarted) return fail("unreadable answer")
+        if (response.status().code() < FIRST_FINAL_STATUS) return countSkipped("interim answers without end")
+        when (val origin = AnswerOrigin.of(response, current.request, isOnlyRequest = requests == 1)) {
+            AnswerOrigin.OTHER_REQUEST -> {
+                reportForeign("an answer with status ${response.status().code()} to another request")
+                isSkipping = true
+                countSkipped("answers to other requests without end")
+            }
+
+            AnswerOrigin.UNKNOWN -> {
+                val description = "an answer with status ${response.status().code()} that does not name its request"
+                reportForeign("$description, after ${requests - 1} other requests")
+                fail(description)
+            }
+
+            AnswerOrigin.NAMED, AnswerOrigin.ONLY_REQUEST -> {
+                answerStarted = true
+                reusable = origin == AnswerOrigin.NAMED && HttpUtil.isKeepAlive(response) &&
+                    (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response))
+                statedIdleMillis = keepAliveTimeout(response.headers().get("Keep-Alive"))
+                current.head(response.status().code(), response.headers().map { Header(it.key, it.value) })
             }
-            return
-        }
-        foreignDescription(response, current.request)?.let(::reportForeign)
-        answerStarted = true
-        // A faulty target may write a refusal once more. It names no request, so it would answer the next one.
-        reusable = response.status().codeClass() == HttpStatusClass.SUCCESS && HttpUtil.isKeepAlive(response) &&
-            (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response))
-        statedIdleMillis = keepAliveTimeout(response.headers().get("Keep-Alive"))
-        current.head(response.status().code(), response.headers().map { Header(it.key, it.value) })
-    }
-
-    /** Returns why [response] does not belong to [request], or null when it may. */
-    private fun foreignDescription(response: HttpResponse, request: OutgoingRequest): String? {
-        val expected = request.echoedHeader ?: return null
-        val echoed = response.headers().getAll(expected.name)
-        val status = response.status().code()
-        return when {
-            echoed.any { it != expected.value } -> "an answer with status $status to another request"
-
-            echoed.isEmpty() && requests > 1 ->
-                "an answer with status $status to one of $requests requests, without naming it"
-
-            else -> null
         }
     }
 
+    private fun countSkipped(reasonAtLimit: String) {
+        if (++skippedAnswers > SKIPPED_ANSWER_LIMIT) fail(reasonAtLimit)
+    }
+
+    private fun fail(reason: String) {
+        failure = reason
+        close()
+    }
+
     private fun reportForeign(description: String) = dialer.onForeignAnswer(address, description)
 
     private fun append(content: HttpContent) {
         val current = call ?: return
-        if (content.decoderResult().isFailure) {
-            failure = "unreadable answer"
-            return close()
+        if (content.decoderResult().isFailure) return fail("unreadable answer")
+        if (isSkipping) {
+            isSkipping = content !is LastHttpContent
+            return
         }
         if (!answerStarted) return
         val bytes = content.content()
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/Defaults.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/Defaults.kt
@@ -9,8 +9,8 @@
 /** Bytes of the headers of a target's answer that are accepted. */
 internal const val ANSWER_HEADER_LIMIT_BYTES: Int = 32_768
 
-/** Interim answers (1xx) to one request after which a target is taken to send them without end. */
-internal const val INTERIM_ANSWER_LIMIT: Int = 8
+/** Interim answers (1xx) and answers to other requests after which a target is taken to send them without end. */
+internal const val SKIPPED_ANSWER_LIMIT: Int = 8
 
 /** Bytes of a body that the decoder hands on at once. */
 internal const val BODY_CHUNK_BYTES: Int = 16_384
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/HttpDialer.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/HttpDialer.kt
@@ -12,7 +12,8 @@
 
 /**
  * Sends requests over kept or new connections. One request at a time uses a connection, nothing is ever sent twice,
- * and a connection is kept only after a success that was complete and announced no end. Used on the event loop.
+ * and a connection is kept only after a complete answer that named its request and announced no end. Used on the event
+ * loop.
  */
 public class HttpDialer(
     private val loop: EventLoop,
@@ -24,7 +25,7 @@
     /** Sends [request] to [address]; [listener] hears what becomes of it, never before this returns. */
     public fun send(address: InetSocketAddress, request: OutgoingRequest, listener: AnswerListener): OutgoingCall {
         val call = ClientCall(request, listener)
-        val connection = takeKept(address, request.reuseIdleMillis)
+        val connection = if (request.mayUseKeptConnection) takeKept(address, request.reuseIdleMillis) else null
         if (connection != null) loop.execute { connection.start(call) } else connect(address, call)
         return call
     }
--- a/bergamotwind-transport/src/test/kotlin/dev/bergamotwind/transport/HttpDialerSpec.kt
+++ b/bergamotwind-transport/src/test/kotlin/dev/bergamotwind/transport/HttpDialerSpec.kt
@@ -19,7 +19,8 @@
 /** Guards against answers that look whole and are not, requests that are sent twice, and stale connections. */
 class HttpDialerSpec {
     private val loop = EventLoop()
-    private val dialer = HttpDialer(loop)
+    private val foreignAnswers = CopyOnWriteArrayList<String>()
+    private val dialer = HttpDialer(loop) { _, description -> foreignAnswers += description }
 
     @AfterEach
     fun close() = loop.close()
@@ -134,35 +135,145 @@
         }
     }
 
-    @Test
-    fun `keeps a connection after a whole answer`() {
+    data class KeepCase(val name: String, val answer: (String?) -> String, val isNamed: Boolean, val accepted: Int) {
+        override fun toString() = name
+    }
+
+    // Guards against a kept connection whose last answer, written once more, could not be told from the next one, and
+    // against a new connection for each request to a target that refuses or fails some.
+    @ParameterizedTest
+    @MethodSource("keepCases")
+    fun `keeps a connection only after an answer that names its request`(case: KeepCase) {
         val server = RawServer { connection ->
-            while (connection.request() != null) connection.send(OK)
+            while (true) connection.send(case.answer(connection.requestId() ?: break))
         }
         server.use {
-            repeat(3) { send(server.address).await() }
-            assertEquals(1, server.accepted.get())
+            repeat(3) { send(server.address, id = if (case.isNamed) "r-$it" else null).await() }
+            assertEquals(case.accepted, server.accepted.get())
         }
     }
 
-    // Guards against an earlier refusal, written once more, that is taken for the answer to the next request: refusals
-    // name no request, so a request that runs would be reported as not run and be sent to another target.
+    // Guards against an earlier refusal, written once more, that is taken for the answer to the next request: a request
+    // that runs would be reported as not run and be sent to another target.
     @Test
-    fun `does not reuse a connection after a refusal`() {
+    fun `does not reuse a connection after a refusal that names no request`() {
         val connections = AtomicInteger()
         val server = RawServer { connection ->
-            val answer = if (connections.getAndIncrement() == 0) REFUSAL else OK
-            while (connection.request() != null) connection.send(answer)
+            val isFirst = connections.getAndIncrement() == 0
+            while (true) {
+                val id = connection.requestId() ?: break
+                connection.send(if (isFirst) REFUSAL else ok(id))
+            }
         }
         server.use {
-            val refused = send(server.address)
+            val refused = send(server.address, id = "r-1")
             refused.await()
-            val next = send(server.address)
+            val next = send(server.address, id = "r-2")
             next.await()
             assertEquals(listOf(503, 200), listOf(refused.status, next.status))
         }
     }
 
+    data class SecondAnswerCase(val name: String, val second: String, val end: String, val body: String) {
+        override fun toString() = name
+    }
+
+    // Guards against a second answer to an earlier request, whatever its status, that is taken for the answer to the
+    // request that waits on the same connection.
+    @ParameterizedTest
+    @MethodSource("secondAnswers")
+    fun `tells the answer to a request from a second answer to an earlier one`(case: SecondAnswerCase) {
+        val server = RawServer { connection ->
+            connection.requestId()
+            connection.send(ok("r-1"))
+            connection.requestId()
+            connection.send(case.second)
+            connection.send(ok("r-2", "own"))
+            connection.request()
+        }
+        server.use {
+            assertEquals("complete", send(server.address, id = "r-1").await())
+            val answer = send(server.address, id = "r-2")
+            assertEquals(case.end, answer.await())
+            assertEquals(case.body, answer.body.toString())
+            assertEquals(1, server.accepted.get())
+            assertEquals(1, foreignAnswers.size)
+        }
+    }
+
+    @Test
+    fun `a second answer in pieces around the next request belongs to no request`() {
+        val second = ok("r-1", "other")
+        val server = RawServer { connection ->
+            connection.requestId()
+            connection.send(ok("r-1") + second.take(30))
+            connection.requestId()
+            connection.send(second.drop(30).dropLast(2))
+            Thread.sleep(50)
+            connection.send(second.takeLast(2) + ok("r-2", "own"))
+            connection.request()
+        }
+        server.use {
+            assertEquals("complete", send(server.address, id = "r-1").await())
+            val answer = send(server.address, id = "r-2")
+            assertEquals("complete own", "${answer.await()} ${answer.body}")
+        }
+    }
+
+    // Guards against a request that waits for an answer after its target has sent one under a wrong name.
+    @Test
+    fun `an answer to another request on a new connection ends it`() {
+        val server = RawServer { connection ->
+            connection.requestId()
+            connection.send(ok("r-0"))
+            connection.request()
+        }
+        server.use { assertEquals("broken", send(server.address, id = "r-1").await()) }
+    }
+
+    @Test
+    fun `answers to other requests without end are not waited for`() {
+        val server = RawServer { connection ->
+            connection.requestId()
+            connection.send(ok("r-0"))
+            connection.requestId()
+            connection.sendWithoutEnd("", ok("r-0"))
+        }
+        server.use {
+            assertEquals("complete", send(server.address, id = "r-0").await())
+            assertEquals("broken", send(server.address, id = "r-1").await())
+        }
+    }
+
+    // Guards against an order, a report or a call to the store that takes a second answer to the call before it.
+    @Test
+    fun `a request whose answer names none has a connection of its own`() {
+        val server = RawServer { connection ->
+            while (true) connection.send(ok(connection.requestId() ?: break))
+        }
+        server.use {
+            send(server.address, id = "r-1").await()
+            repeat(2) { send(server.address, id = null).await() }
+            assertEquals(3, server.accepted.get())
+        }
+    }
+
+    // Guards against a further attempt of a request that takes the second answer to its earlier attempt, and against
+    // the loss of the kept connections that it leaves unused.
+    @Test
+    fun `a request without an idle time has a new connection and leaves the kept ones`() {
+        val server = RawServer { connection ->
+            while (true) connection.send(ok(connection.requestId() ?: break))
+        }
+        server.use {
+            send(server.address, id = "r-1").await()
+            send(server.address, id = "r-1", reuseIdleMillis = 0).await()
+            assertEquals(2, server.accepted.get())
+            repeat(2) { send(server.address, id = "r-2").await() }
+            assertEquals(2, server.accepted.get())
+        }
+    }
+
     @Test
     fun `does not reuse a connection beyond its idle time`() {
         val server = RawServer { connection ->
@@ -307,7 +418,7 @@
             connection.request()
             connection.send(OK)
         }.use { server ->
-            send(server.address, path = "/a//b/%2f/../c;x=1?q=%20&r=a+b").await()
+            send(server.address, id = null, path = "/a//b/%2f/../c;x=1?q=%20&r=a+b").await()
             val lines = server.requests[0].split("\r\n")
             assertEquals("POST /a//b/%2f/../c;x=1?q=%20&r=a+b HTTP/1.1", lines[0])
             val names = lines.drop(1).takeWhile { it.isNotEmpty() }.map { it.substringBefore(':').lowercase() }
@@ -317,6 +428,7 @@
     }
 
     private fun request(
+        id: String? = "r",
         body: ByteArray = ByteArray(3),
         path: String = "/a",
         reuseIdleMillis: Long = 5_000,
@@ -325,23 +437,30 @@
     ) = OutgoingRequest(
         "POST",
         path,
-        listOf(Header("Host", "h"), Header("X-Double", "1"), Header("X-Double", "2")),
+        listOfNotNull(
+            Header("Host", "h"),
+            Header("X-Double", "1"),
+            Header("X-Double", "2"),
+            id?.let { Header(ID, it) },
+        ),
         body,
         1_000,
         reuseIdleMillis,
         mayLeave,
         resetsIfUnanswered,
+        id?.let { Header(ID, it) },
     )
 
     private fun send(
         address: InetSocketAddress,
+        id: String? = "r",
         body: ByteArray = ByteArray(3),
         path: String = "/a",
         reuseIdleMillis: Long = 5_000,
         resetsIfUnanswered: Boolean = false,
     ): Answer {
         val answer = Answer()
-        val request = request(body, path, reuseIdleMillis, resetsIfUnanswered = resetsIfUnanswered)
+        val request = request(id, body, path, reuseIdleMillis, resetsIfUnanswered = resetsIfUnanswered)
         loop.execute { dialer.send(address, request, answer) }
         return answer
     }
@@ -354,7 +473,42 @@
 
         private const val REFUSAL =
             "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-        private const val OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        private const val ID = "X-Id"
+
+        /** A whole answer that names the request of [send] unless that has another id. */
+        private const val OK = "HTTP/1.1 200 OK\r\n$ID: r\r\nContent-Length: 2\r\n\r\nok"
+
+        private fun ok(id: String, body: String = "ok") = answer("200 OK", body, id)
+
+        private fun answer(status: String, body: String, id: String?): String {
+            val name = id?.let { "$ID: $it\r\n" }.orEmpty()
+            return "HTTP/1.1 $status\r\n${name}Content-Length: ${body.length}\r\n\r\n$body"
+        }
+
+        /** Reads a request and returns its id, an empty text if it has none, or null at the end of the connection. */
+        private fun RawConnection.requestId(): String? {
+            val lines = request()?.lineSequence() ?: return null
+            return lines.firstOrNull { it.startsWith(ID) }?.substringAfter(": ").orEmpty()
+        }
+
+        @JvmStatic
+        fun keepCases() = listOf(
+            KeepCase("a success that names it", { ok(it!!) }, true, 1),
+            KeepCase("a refusal that names it", { answer("503 Busy", "", it) }, true, 1),
+            KeepCase("a failure that names it", { answer("500 Error", "no", it) }, true, 1),
+            KeepCase("a success that names none", { answer("200 OK", "ok", null) }, true, 3),
+            KeepCase("a refusal that names none", { answer("503 Busy", "", null) }, true, 3),
+            KeepCase("a request without an id", { answer("200 OK", "ok", null) }, false, 3),
+        )
+
+        @JvmStatic
+        fun secondAnswers(): List<SecondAnswerCase> = listOf("200 OK", "421 Other", "429 Full", "500 Error", "503 Busy")
+            .flatMap { status ->
+                listOf(
+                    SecondAnswerCase("$status, named", answer(status, "other", "r-1"), "complete", "own"),
+                    SecondAnswerCase("$status, not named", answer(status, "other", null), "broken", ""),
+                )
+            }
 
         private fun case(name: String, expected: String, act: (RawConnection) -> Unit) = AnswerCase(name, expected, act)
 
