Give each request to a target of the OpenAI edge a connection of its own

Cause: answers of targets and engines name no request. A second answer to an earlier request that comes after the next one was sent on its kept connection was taken for the next one's answer: idempotent requests to targets, orders and reports reused connections. Change: the clients of targets and engines send one request on a connection. TargetClient no longer distinguishes idempotent requests. The clients of etcd are unchanged. The time and load that new connections add was not measured.

--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CompletionRun.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/CompletionRun.kt
@@ -107,7 +107,7 @@
     private suspend fun send(choice: TargetChoice, body: String): Either<Failure, TargetResponse> {
         val headers = ForwardedHeaders.toTarget(prepared.headers, path, session.id, prepared.credential)
         val content = HttpData.ofUtf8(body)
-        return dependencies.targetClient.send(choice.target.address, headers, content, true, session.remainingMillis)
+        return dependencies.targetClient.send(choice.target.address, headers, content, session.remainingMillis)
             .flatMap { checkStatus(choice, it) }
     }
 
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PlainServiceHandler.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/PlainServiceHandler.kt
@@ -141,7 +141,7 @@
         val headers = ForwardedHeaders.toTarget(received, prepared.path, session.id, prepared.credential)
         val content = prepared.body.content()
         return dependencies.targetClient
-            .send(choice.target.address, headers, content, prepared.route.idempotent, session.remainingMillis)
+            .send(choice.target.address, headers, content, session.remainingMillis)
             .flatMap { response ->
                 if (response.isDraining) {
                     response.abort()
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/TargetClient.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/TargetClient.kt
@@ -23,25 +23,26 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * Sends requests to targets without retries. Idempotent requests reuse pooled connections. A non-idempotent request
- * gets a new connection: if a target closes a reused one meanwhile, it is unknown whether the request has run.
+ * Sends requests to targets without retries. Each request gets a connection of its own: answers name no request, so a
+ * late second answer to an earlier request on a reused connection could not be told from the answer to the next one.
+ * If a target closes a reused connection meanwhile, it is also unknown whether the request has run.
  */
 internal class TargetClient : AutoCloseable {
-    private val pooledFactory = factoryBuilder().build()
-    private val singleUseFactory = factoryBuilder().maxNumRequestsPerConnection(1).build()
-    private val clients = ConcurrentHashMap<ClientKey, WebClient>()
-
-    private data class ClientKey(val address: String, val idempotent: Boolean)
+    private val factory = ClientFactory.builder()
+        .connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS)
+        .idleTimeoutMillis(IDLE_TIMEOUT_MILLIS)
+        .maxNumRequestsPerConnection(1)
+        .build()
+    private val clients = ConcurrentHashMap<String, WebClient>()
 
     /** Sends a request to [address] and waits for the response headers; the response must end in [timeoutMillis]. */
     suspend fun send(
         address: String,
         headers: RequestHeaders,
         body: HttpData,
-        idempotent: Boolean,
         timeoutMillis: Long,
     ): Either<Failure.TargetFailed, TargetResponse> {
-        val client = clients.computeIfAbsent(ClientKey(address, idempotent), ::createClient)
+        val client = clients.computeIfAbsent(address, ::createClient)
         val options = RequestOptions.builder().responseTimeout(Duration.ofMillis(timeoutMillis)).build()
         val response = client.execute(HttpRequest.of(headers, body), options)
         return awaitHeaders(address, response)
@@ -64,25 +65,19 @@
             failureOf(address, failure).left()
         }
 
-    override fun close() {
-        pooledFactory.close()
-        singleUseFactory.close()
-    }
+    override fun close(): Unit = factory.close()
 
-    private fun createClient(key: ClientKey): WebClient =
-        WebClient.builder(SessionProtocol.H1C, Endpoint.parse(key.address))
-            .factory(if (key.idempotent) pooledFactory else singleUseFactory)
+    private fun createClient(address: String): WebClient =
+        WebClient.builder(SessionProtocol.H1C, Endpoint.parse(address))
+            .factory(factory)
             .maxResponseLength(0)
             .build()
 
-    private fun factoryBuilder() = ClientFactory.builder()
-        .connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS)
-        .idleTimeoutMillis(IDLE_TIMEOUT_MILLIS)
-
     internal companion object {
         private const val CONNECT_TIMEOUT_MILLIS = 1_000L
 
-        // Shorter than the keep-alive timeout of common engines, so that they rarely close a pooled connection in use.
+        // A connection whose request was given up while it opened stays for a later one. Shorter than the keep-alive
+        // timeout of common engines, so that they rarely close it when that request is sent.
         private val IDLE_TIMEOUT_MILLIS = TimeUnit.SECONDS.toMillis(4)
 
         /** Returns the failure for [cause]; it states "not run" only if no byte of the request was written. */
--- /dev/null
+++ b/bergamotwind-node/src/test/kotlin/dev/bergamotwind/node/TargetClientSpec.kt
@@ -0,0 +1,91 @@
+package dev.bergamotwind.node
+
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.RequestHeaders
+import dev.bergamotwind.test.SecondAnswerServer
+import dev.bergamotwind.test.SecondAnswerServer.Companion.answer
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+
+/** Guards against callers that get the answer to another request. */
+class TargetClientSpec {
+    class SecondAnswerCase(
+        private val name: String,
+        val first: String,
+        val next: String,
+        val received: List<String>,
+        val second: String = first,
+    ) {
+        override fun toString() = name
+    }
+
+    // Guards against a second answer of a target that is taken for the answer to the next request on its connection.
+    @ParameterizedTest
+    @MethodSource("secondAnswers")
+    fun `does not take a late second answer for the answer to the next request`(case: SecondAnswerCase) {
+        SecondAnswerServer(case.first, case.second, case.next).use { target ->
+            TargetClient().use { client ->
+                assertEquals(case.received, List(2) { client.receive(target.address) })
+                assertEquals(listOf(1, 2), target.connections)
+            }
+        }
+    }
+
+    private fun TargetClient.receive(address: String): String = runBlocking {
+        val headers = RequestHeaders.of(HttpMethod.POST, "/v1/completions")
+        send(address, headers, HttpData.ofUtf8("{}"), timeoutMillis = 10_000).fold({ it.message }) {
+            val status = it.headers.status().code()
+            it.aggregate(address).fold({ failure -> failure.message }) { body -> "$status ${body.toStringUtf8()}" }
+        }
+    }
+
+    private companion object {
+        const val CHUNKED =
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n7\r\n answer\r\n0\r\n\r\n"
+
+        @JvmStatic
+        fun secondAnswers() = listOf(
+            SecondAnswerCase(
+                "the answer to an earlier request once more",
+                answer(200, "first answer"),
+                answer(200, "next answer"),
+                listOf("200 first answer", "200 next answer"),
+            ),
+            SecondAnswerCase(
+                "a stream once more",
+                CHUNKED,
+                answer(200, "next answer"),
+                listOf("200 first answer", "200 next answer"),
+            ),
+            SecondAnswerCase(
+                "an earlier success, and the next request is refused",
+                answer(200, "first answer"),
+                answer(404, "next answer"),
+                listOf("200 first answer", "404 next answer"),
+            ),
+            SecondAnswerCase(
+                "an earlier refusal, and the next request succeeds",
+                answer(503, "first answer", "X-Draining: true"),
+                answer(200, "next answer"),
+                listOf("503 first answer", "200 next answer"),
+            ),
+            SecondAnswerCase(
+                "an error after the answer",
+                answer(200, "first answer"),
+                answer(200, "next answer"),
+                listOf("200 first answer", "200 next answer"),
+                second = answer(500, "second answer"),
+            ),
+            SecondAnswerCase(
+                "another body with the status of the answer",
+                answer(200, "first answer"),
+                answer(200, "next answer"),
+                listOf("200 first answer", "200 next answer"),
+                second = answer(200, "second answer"),
+            ),
+        )
+    }
+}
--- a/bergamotwind-platform/src/main/kotlin/dev/bergamotwind/platform/HttpClients.kt
+++ b/bergamotwind-platform/src/main/kotlin/dev/bergamotwind/platform/HttpClients.kt
@@ -1,6 +1,7 @@
 package dev.bergamotwind.platform
 
 import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.client.ClientFactoryBuilder
 import com.linecorp.armeria.client.WebClient
 import com.linecorp.armeria.common.util.TransportType
 import io.netty.channel.ChannelOption
@@ -12,14 +13,19 @@
 // Calls to the platform are few; one event loop keeps the processor time of a node low.
 private const val EVENT_LOOPS = 1
 
-/** Returns a client factory over NIO, never io_uring. */
-internal fun clientFactory(name: String, connectTimeout: Duration): ClientFactory {
+/** Returns a client factory over NIO, never io_uring, with the further settings of [configure]. */
+internal fun clientFactory(
+    name: String,
+    connectTimeout: Duration,
+    configure: ClientFactoryBuilder.() -> Unit = {},
+): ClientFactory {
     val number = AtomicInteger()
     val threads = ThreadFactory { task -> Thread(task, "$name-${number.incrementAndGet()}").apply { isDaemon = true } }
     return ClientFactory.builder()
         .workerGroup(TransportType.NIO.newIoEventLoopGroup(EVENT_LOOPS) { threads }, true)
         .connectTimeout(connectTimeout.toJavaDuration())
         .channelOption(ChannelOption.SO_KEEPALIVE, true)
+        .apply(configure)
         .build()
 }
 
--- a/bergamotwind-platform/src/main/kotlin/dev/bergamotwind/platform/HttpEngineControl.kt
+++ b/bergamotwind-platform/src/main/kotlin/dev/bergamotwind/platform/HttpEngineControl.kt
@@ -24,7 +24,9 @@
 
 /**
  * Orders to engines by `POST /control/orders` and reports by `GET /control/report`. [addressOf] returns a target's
- * `IP:PORT`, or null when the target is not configured. Nothing is sent twice.
+ * `IP:PORT`, or null when the target is not configured. Nothing is sent twice. Each call gets a connection of its own:
+ * answers name no call, so a late second answer to an earlier call on a reused connection could not be told from the
+ * answer to the next one.
  */
 public class HttpEngineControl(
     private val timeout: Duration = DEFAULT_CONTROL_TIMEOUT,
@@ -32,7 +34,7 @@
     private val addressOf: (TargetId) -> String?,
 ) : EngineControl,
     AutoCloseable {
-    private val factory = clientFactory("engine-control", connectTimeout)
+    private val factory = clientFactory("engine-control", connectTimeout) { maxNumRequestsPerConnection(1) }
     private val clients = ConcurrentHashMap<String, WebClient>()
 
     /** Fails with [Failure.Conflict] when the engine has seen a greater fencing number. */
