--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ResponseHead.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ResponseHead.kt
@@ -20,6 +20,8 @@
     val belongsToRequest: Boolean,
     /** Load that the target reports with the response, or null. */
     val load: ReportedLoad?,
+    /** Requests a second that the target takes from all VMs together for now, or null when it names no limit. */
+    val requestLimitPerSecond: Double? = null,
 ) {
     /** True for a 2xx status. */
     val isSuccess: Boolean get() = status in SUCCESS
