Keep the request limits that targets name, over all VMs

Cause: a target in need names how many requests a second it takes from all VMs together, and the VMs sent it whatever callers asked for. Change: each VM learns the limit from answers of its own requests and from the heartbeats of others. All VMs count all requests under a limit in a token bucket whose debt is repaid in full; VMs that are not heard from keep their equal part. Calls that only targets at their limits could take are refused at once, with the time until the next request may be sent, spread by 1 to 2. Evidence: of the serving module's 2,348 tests one failed: six VMs with heartbeats of 400 ms used 336 of 450 requests at a limit of 7.5 a second, where 360 are asked for. The bound on what a target gets held in all 1,800 cases. The whole verify was not repeated, and the rest of the platform module was not run on this code.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -41,6 +41,7 @@
 import dev.bergamotwind.serving.targets.RoundTripEstimates
 import dev.bergamotwind.serving.targets.TargetPicker
 import dev.bergamotwind.serving.targets.TargetRegistry
+import dev.bergamotwind.serving.targets.TargetSendLimits
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.cbor.Cbor
 import java.net.InetSocketAddress
@@ -287,6 +288,7 @@
             remainingUnits = if (peers.hasRecentStart) context.rateLimiter.levels() else emptyMap(),
             endedTerm = election.endedTermAnnouncement(placement::orderAges),
             promptParts = context.quarantine.reports(),
+            sendLimits = context.picker.sendLimits.reports(),
         )
     }
 
@@ -378,6 +380,7 @@
                 heartbeat.remainingUnits,
             )
             targets.applyPeerLoads(heartbeat.vm, heartbeat.loads)
+            context.picker.sendLimits.applyReports(heartbeat.vm, heartbeat.incarnation, heartbeat.sendLimits)
             heartbeat.promptParts.forEach(context.quarantine::apply)
             heartbeat.endedTerm?.let { ended ->
                 if (placementHolder == heartbeat.vm) placementHolder = null
@@ -415,7 +418,15 @@
         override val configuration: ServedConfiguration? get() = this@ServingVm.configuration
         override val isReadingConfiguration: Boolean get() = !isSynced && !storeWatcher.hasFailed
         override val picker =
-            TargetPicker(targets, distance, ports.loop, this@ServingVm.random)
+            TargetPicker(
+                targets,
+                distance,
+                ports.loop,
+                this@ServingVm.random,
+                TargetSendLimits(targets, ports.loop, settings.contactMillis, ports.recorder, peers::senders) {
+                    scheduleEarlyHeartbeat()
+                },
+            )
         override val transport: TargetTransport get() = ports.transport
         override val rateLimiter = FleetRateLimiter(ports.loop, settings.rateToleranceTokens) { peers.reachableShare }
         override val waitingCalls = WaitingCalls()
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallAttempt.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallAttempt.kt
@@ -79,8 +79,12 @@
         lastProgressMillis = now
         this.head = head
         head.load?.let { target.recordReportedLoad(it, now) }
+        val isOwn = head.belongsToRequest && (!head.isSuccess || head.isSigned)
+        if (isOwn && !head.answeredByOther) {
+            context.picker.sendLimits.applyAnswer(target, head.requestLimitPerSecond, load.sentMillis)
+        }
         when {
-            !head.belongsToRequest || (head.isSuccess && !head.isSigned) ->
+            !isOwn ->
                 fail("the response does not belong to this request or is not signed by the target")
 
             // The head suffices; a body that does not end soon is not waited for.
@@ -125,6 +129,7 @@
 
     override fun onNotSent(reason: String) {
         if (!isActive) return
+        if (load.isLimited) context.picker.sendLimits.refund(target)
         target.health.recordUnreachable(now)
         context.crashes.onEnded(target)
         outcomeHandler.onNotRun(this, reason, reachedTarget = false)
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallHandler.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallHandler.kt
@@ -144,11 +144,15 @@
 
     private fun handleNoTarget(criteria: TargetCriteria) {
         val modelRequest = call.modelRequest
+        val millisUntilWithinLimits = context.picker.millisUntilWithinLimits(criteria)
         val remaining = progress.remainingToFirstEventMillis
         val expected = modelRequest?.let(context::expectedLoadMillis) ?: DEFAULT_MODEL_LOAD_MILLIS
         val mayWait = modelRequest != null && criteria.service.engine != null &&
             (!progress.mayHaveRun || progress.isRepeatable)
         when {
+            millisUntilWithinLimits != null ->
+                refuse(progress.limitRefusal(criteria.service.id, millisUntilWithinLimits))
+
             modelRequest == null || !mayWait || context.picker.isModelLoaded(criteria, modelRequest.model) ->
                 refuse(Refusal(RefusalKind.OVERLOADED, "no target can take the request", SHORT_RETRY_AFTER_MILLIS))
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
@@ -1,5 +1,6 @@
 package dev.bergamotwind.serving.call
 
+import dev.bergamotwind.api.ServiceId
 import dev.bergamotwind.api.TargetId
 import dev.bergamotwind.serving.catalogue.ServedRoute
 import dev.bergamotwind.serving.catalogue.ServedService
@@ -113,6 +114,16 @@
         return Refusal(RefusalKind.OVERLOADED, "the first event is expected after $predictedMillis ms", retryAfter)
     }
 
+    /**
+     * Returns the refusal of a call while all targets of [service] that could take it are at the limits that they
+     * named, the first of them for [millis] more. Callers return at different times, so that few find it used again.
+     */
+    fun limitRefusal(service: ServiceId, millis: Long): Refusal {
+        val retryAfter = (millis * (1 + context.random.nextDouble())).toLong().coerceAtLeast(SHORT_RETRY_AFTER_MILLIS)
+        val reason = "all targets of service $service are at the request limits that they named"
+        return Refusal(RefusalKind.OVERLOADED, reason, retryAfter)
+    }
+
     /** Returns the refusal of a call whose prompt contains [refused]. */
     fun quarantineRefusal(refused: RefusedPart): Refusal {
         val reason = "part ${refused.part} of the prompt has crashed ${refused.crashes} engines"
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/PeerHeartbeat.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/PeerHeartbeat.kt
@@ -56,4 +56,7 @@
     /** Prompt parts that may crash engines, as far as something has changed. */
     @CborLabel(13)
     val promptParts: List<PromptPartReport> = emptyList(),
+    /** Limits that targets have named, with the requests that the sender has sent under them. */
+    @CborLabel(14)
+    val sendLimits: Map<TargetId, SendLimitReport> = emptyMap(),
 )
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/PeerState.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/PeerState.kt
@@ -16,6 +16,9 @@
     fun isReachable(nowMillis: Long): Boolean =
         lastHeartbeatMillis?.let { nowMillis - it < PEER_TIMEOUT_MILLIS } ?: false
 
+    fun isRecentlyHeard(nowMillis: Long): Boolean =
+        lastHeartbeatMillis?.let { nowMillis - it <= MAX_HEARTBEAT_INTERVAL_MILLIS } ?: false
+
     /** Returns true while the VM may be running: registered, reachable, or deregistered too recently to be sure. */
     fun mayBeRunning(nowMillis: Long): Boolean = member != null || isReachable(nowMillis) ||
         (deregisteredMillis?.let { nowMillis - it < DEREGISTERED_PEER_GRACE_MILLIS } ?: false)
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/Peers.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/peer/Peers.kt
@@ -1,9 +1,11 @@
 package dev.bergamotwind.serving.peer
 
 import dev.bergamotwind.api.FailureDomainId
+import dev.bergamotwind.api.TargetId
 import dev.bergamotwind.api.VmId
 import dev.bergamotwind.serving.ServingLoop
 import dev.bergamotwind.serving.decode
+import dev.bergamotwind.serving.targets.StableHash
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.cbor.Cbor
 import java.net.InetSocketAddress
@@ -46,6 +48,29 @@
     internal fun countStartedAfter(incarnation: Long): Int =
         states.values.count { peer -> (peer.member?.incarnation ?: 0) > incarnation }
 
+    /**
+     * Returns at most [limit] of the VMs that may be running, and at least one, that may send to [target]. They are
+     * chosen by rendezvous hashing, so that all VMs agree without communication.
+     */
+    internal fun senders(target: TargetId, limit: Int): SenderGroup {
+        val now = loop.nowMillis()
+        val seed = StableHash.hash(target.value.hashCode().toLong())
+        val running = states.filterValues { it.mayBeRunning(now) }.keys + ownVm
+        val chosen = if (running.size <= limit) {
+            running
+        } else {
+            running.sortedBy { StableHash.hash(seed xor it.value.hashCode().toLong()) }.take(limit.coerceAtLeast(1))
+        }
+        val peers = chosen.mapNotNull(states::get)
+        val own = if (ownVm in chosen) 1 else 0
+        return SenderGroup(
+            includesThisVm = own > 0,
+            size = chosen.size,
+            reachable = own + peers.count { it.isReachable(now) },
+            recentlyHeard = own + peers.count { it.isRecentlyHeard(now) },
+        )
+    }
+
     /** Returns the last heartbeats of the reachable VMs. */
     internal fun reachableHeartbeats(): List<PeerHeartbeat> {
         val now = loop.nowMillis()
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/rate/FleetTokenBucket.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/rate/FleetTokenBucket.kt
@@ -15,6 +15,8 @@
     private val tolerance: Double = 0.0,
     /** True when the team cannot have used anything yet; otherwise the bucket starts with the tolerance only. */
     isFull: Boolean = false,
+    /** Largest debt after an excess caused by lag, in bursts. */
+    private val maxDebtBursts: Double = MAX_DEBT_BURSTS,
 ) {
     private val peerTotals = HashMap<VmId, PeerTotal>()
     private var updatedMillis: Long? = null
@@ -67,16 +69,22 @@
             .coerceIn(MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_MILLIS)
     }
 
-    /** Applies the running [total] of [peer], which restarts with each [incarnation] of the peer. */
-    public fun applyPeerTotal(peer: VmId, incarnation: Long, total: Double) {
+    /**
+     * Applies the running [total] of [peer], which restarts with each [incarnation] of the peer, and returns the units
+     * that were deducted. [reservedUnits] are those that were left to the peer while it was not heard from.
+     */
+    public fun applyPeerTotal(peer: VmId, incarnation: Long, total: Double, reservedUnits: Double = 0.0): Double {
         val known = peerTotals[peer]
         val current = known?.takeIf { it.incarnation == incarnation }
             ?: PeerTotal(incarnation, 0.0).also { peerTotals[peer] = it }
         val before = current.total
         current.total = total
-        val floor = -capacity() * MAX_DEBT_BURSTS
         // The first total of a peer is not deducted, because it is unknown which part of it is recent; see adoptLevel.
-        if (known != null) level = (level - (total - before)).coerceIn(floor, capacity())
+        if (known == null) return 0.0
+        val used = total - before
+        val deducted = if (reservedUnits > 0) (used - reservedUnits).coerceAtLeast(0.0) else used
+        level = (level - deducted).coerceIn(-capacity() * maxDebtBursts, capacity())
+        return deducted
     }
 
     /**
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/AttemptLoad.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/AttemptLoad.kt
@@ -8,6 +8,8 @@
     internal val prefillMillis: Double,
     internal val memoryTokens: Int,
     internal val priority: PriorityClass,
+    /** True when the request counts towards a limit that the target has named. */
+    internal val isLimited: Boolean,
 ) {
     /** Time of the first byte of the response, or null. */
     internal var firstByteMillis: Long? = null
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetPicker.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetPicker.kt
@@ -16,6 +16,8 @@
     private val roundTrips: RoundTripEstimates,
     private val loop: ServingLoop,
     private val random: Random,
+    /** The limits that targets have named. */
+    val sendLimits: TargetSendLimits,
 ) {
     val processingTimes = ProcessingTimeEstimator()
 
@@ -41,6 +43,16 @@
         }
     }
 
+    /**
+     * Milliseconds until a request may be sent to one of the targets that could take it if they were not at the limits
+     * that they named, or null when there is no such target.
+     */
+    fun millisUntilWithinLimits(criteria: TargetCriteria): Long? {
+        val now = loop.nowMillis()
+        return registry.targetsOf(criteria.service.id).filter { couldTake(it, criteria, now) }.ifEmpty { null }
+            ?.let(sendLimits::millisUntilAvailable)
+    }
+
     /** Records that a request was sent to the chosen target; the result is passed to [recordEnd]. */
     fun recordSent(choice: TargetChoice, request: ModelRequest?, priority: PriorityClass): AttemptLoad {
         val now = loop.nowMillis()
@@ -48,8 +60,14 @@
             choice.target.promptCache.recordSent(it)
             processingTimes.recordPrefill(it, choice.prefillMillis)
         }
-        return AttemptLoad(now, choice.predictedMillis, choice.prefillMillis, request?.memoryTokens ?: 0, priority)
-            .also { choice.target.attempts += it }
+        return AttemptLoad(
+            sentMillis = now,
+            predictedMillis = choice.predictedMillis,
+            prefillMillis = choice.prefillMillis,
+            memoryTokens = request?.memoryTokens ?: 0,
+            priority = priority,
+            isLimited = sendLimits.recordSent(choice.target),
+        ).also { choice.target.attempts += it }
     }
 
     /** Records that the first byte of a response has arrived. */
@@ -78,6 +96,9 @@
     }
 
     private fun isUsable(target: TargetState, criteria: TargetCriteria, now: Long): Boolean =
+        couldTake(target, criteria, now) && sendLimits.maySend(target)
+
+    private fun couldTake(target: TargetState, criteria: TargetCriteria, now: Long): Boolean =
         target.record.lifecycle == TargetLifecycle.READY &&
             target.record.id !in criteria.excluded &&
             target.attempts.size < criteria.connectionLimit &&
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetState.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetState.kt
@@ -12,6 +12,7 @@
 
     internal val health = TargetHealth()
     internal val promptCache = PromptCacheEstimate()
+    internal val sendLimit = TargetSendLimit(nowMillis)
     internal val attempts = LinkedHashSet<AttemptLoad>()
     private val loadedModels = HashMap<ModelId, Set<AdapterId>>(record.models)
     private val peerLoads = HashMap<VmId, InFlightLoad>()
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/peer/PeersSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/peer/PeersSpec.kt
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.MethodSource
 import java.net.InetSocketAddress
 import kotlin.random.Random
@@ -57,6 +58,26 @@
         assertEquals(2, listener.heartbeats.size)
     }
 
+    // Guards against VMs that do not agree which of them may send to a limited target, and against none or too many.
+    @ParameterizedTest
+    @CsvSource("1, 4, 1", "3, 4, 3", "82, 5, 5", "82, 0, 1", "6, 2147483647, 6")
+    fun `all VMs agree on the senders to a target`(vmCount: Int, limit: Int, senders: Int) {
+        val names = (1..vmCount).map { VmId("vm-$it") }
+        for (target in listOf("t1", "t2")) {
+            val groups = names.map { own ->
+                val view = Peers(loop, own, { _, _ -> }, { true }, listener)
+                names.shuffled(Random(own.hashCode())).forEach {
+                    view.onRegistered(PeerMember(it, "127.0.0.1", 1, Samples.domain, 1), SENDER)
+                }
+                view.senders(TargetId(target), limit)
+            }
+            assertEquals(senders, groups.count { it.includesThisVm })
+            assertEquals(setOf(senders), groups.map { it.size }.toSet())
+            // Nothing has been heard from any other VM.
+            assertEquals(setOf(1), groups.filter { it.includesThisVm }.map { it.reachable }.toSet())
+        }
+    }
+
     @ParameterizedTest
     @MethodSource("datagrams")
     fun `a datagram that is not a heartbeat is ignored`(bytes: ByteArray) {
@@ -81,6 +102,7 @@
             holdings = listOf(TargetHoldings(target, mapOf(model to setOf(AdapterId("a1"))))),
             expectedModels = listOf(ExpectedModel(model, 100, target)),
             endedTerm = EndedTerm(7, mapOf(target to 10)),
+            sendLimits = mapOf(target to SendLimitReport(1.5, 20, 3.0)),
         )
         peers.onRegistered(PeerMember(VmId("vm-1"), "127.0.0.1", 1, Samples.domain, 1), SENDER)
         val random = Random(20_261_205)
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/rate/FleetTokenBucketSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/rate/FleetTokenBucketSpec.kt
@@ -109,6 +109,27 @@
         assertTrue(!bucket.tryTake(100.0))
     }
 
+    // Guards against a debt that is forgotten, so that VMs which do not hear from each other at times exceed a rate.
+    @Test
+    fun `a debt is repaid in full when it is not bounded`() {
+        val bucket = FleetTokenBucket(1.0, 1.0, maxDebtBursts = Double.POSITIVE_INFINITY)
+        bucket.refill(0, 1.0)
+        bucket.applyPeerTotal(VmId("p"), 1, 0.0)
+        bucket.applyPeerTotal(VmId("p"), 1, 50.0)
+        assertEquals(-50.0, bucket.level)
+    }
+
+    // Guards against a peer whose use is counted twice: as reserved while it was not heard from, and as its total.
+    @Test
+    fun `units that were reserved for a silent peer are not deducted again`() {
+        val bucket = FleetTokenBucket(1.0, 1.0, maxDebtBursts = Double.POSITIVE_INFINITY)
+        bucket.refill(0, 1.0)
+        bucket.applyPeerTotal(VmId("p"), 1, 10.0)
+        assertEquals(3.0, bucket.applyPeerTotal(VmId("p"), 1, 30.0, reservedUnits = 17.0))
+        assertEquals(0.0, bucket.applyPeerTotal(VmId("p"), 1, 40.0, reservedUnits = 17.0))
+        assertEquals(-3.0, bucket.level)
+    }
+
     @Test
     fun `a restarted VM adopts the level of a peer once`() {
         val bucket = FleetTokenBucket(1_000.0, 1_000.0)
