Share the fleet of VMs with heartbeats between the specs that need one

The specs of what targets state about themselves need the fleet of TargetSendLimitSpec. No assertion changes.

--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/TargetSendLimitSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/TargetSendLimitSpec.kt
@@ -1,16 +1,7 @@
 package dev.bergamotwind.serving
 
-import arrow.core.Either
-import arrow.core.left
-import arrow.core.right
-import dev.bergamotwind.api.EventRecorder
-import dev.bergamotwind.api.Header
-import dev.bergamotwind.api.TargetId
 import dev.bergamotwind.serving.call.ResponseHead
 import dev.bergamotwind.serving.catalogue.RouteKind
-import dev.bergamotwind.serving.catalogue.ServedConfiguration
-import dev.bergamotwind.serving.store.StoreItem
-import dev.bergamotwind.serving.targets.TargetRecord
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -18,81 +9,13 @@
 import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.MethodSource
 import org.junit.jupiter.params.provider.ValueSource
-import java.net.InetSocketAddress
-import kotlin.random.Random
 
 /** Guards against targets that get more requests than the limit that they name in their answers. */
 class TargetSendLimitSpec {
-    /** VMs with one store, targets that the test answers, and heartbeats that arrive after a lag or are lost. */
-    private class Fleet(vmCount: Int, records: List<TargetRecord>, kind: RouteKind = RouteKind.NON_IDEMPOTENT) {
-        val loop = ManualLoop()
-        val store = FakeStore(loop)
-        val targets = FakeTargets()
-        var losesHeartbeats = false
-        private val records = HashMap<String, TargetRecord>()
-        private val configuration = Samples.configuration(Samples.route(kind))
-        private val decoder = object : StoreDecoder {
-            override fun configuration(item: StoreItem): Either<String, ServedConfiguration> = configuration.right()
-
-            override fun target(item: StoreItem): Either<String, TargetRecord> =
-                this@Fleet.records[item.value.decodeToString()]?.right() ?: "unknown".left()
-
-            override fun targetId(key: String) = TargetId(key.removePrefix("targets/"))
-        }
-        val vms = List(vmCount) { createVm(it) }
-
-        init {
-            store.put("configuration", byteArrayOf(1))
-            records.forEach(::register)
-            vms.forEach { it.start() }
-            loop.advance(1_000)
-        }
-
-        fun register(record: TargetRecord) {
-            val name = "${record.id}-${records.size}"
-            records[name] = record
-            store.put("targets/${record.id}", name.toByteArray())
-        }
-
-        fun serve(vm: Int = 0, id: String = "r1") = FakeExchange().also { vms[vm].serve(Samples.call(id), it) }
-
-        private fun createVm(number: Int): ServingVm {
-            val settings = Samples.settings("vm-$number").copy(peerPort = FIRST_PORT + number)
-            return ServingVm(
-                settings,
-                ServingPorts(
-                    loop = loop,
-                    store = store,
-                    layout = StoreLayout("", "configuration", "targets/"),
-                    decoder = decoder,
-                    transport = targets,
-                    orders = FakeOrders(),
-                    peers = { address, bytes -> deliver(number, address, bytes) },
-                    refusalHeaders = { _, refusal ->
-                        listOf(Header("Retry-After", "${refusal.retryAfterMillis}"))
-                    },
-                    callers = FakeCallers(),
-                    recorder = EventRecorder.None,
-                ),
-                Random(number),
-            )
-        }
-
-        private fun deliver(sender: Int, address: InetSocketAddress, bytes: ByteArray) {
-            if (losesHeartbeats) return
-            loop.schedule(HEARTBEAT_LAG_MILLIS) {
-                vms[address.port - FIRST_PORT].onPeerDatagram(
-                    InetSocketAddress("127.0.0.1", FIRST_PORT + sender),
-                    bytes,
-                )
-            }
-        }
-    }
-
     // Guards against a target that is sent whatever callers ask for although it has named how much it takes.
     @Test
     fun `a target gets no more requests than the limit it names allows`() {
-        val fleet = Fleet(1, listOf(Samples.record("t1")))
+        val fleet = RequestFleet(1, listOf(Samples.record("t1")))
         val sentMillis = mutableListOf<Long>()
         val endMillis = fleet.loop.nowMillis() + 12_000
         var number = 0
@@ -114,7 +37,7 @@
     @ParameterizedTest
     @CsvSource("2, false", "2, true", "6, false", "6, true")
     fun `all VMs together send no more than the limit allows`(vmCount: Int, losesHeartbeats: Boolean) {
-        val fleet = Fleet(vmCount, listOf(Samples.record("t1")))
+        val fleet = RequestFleet(vmCount, listOf(Samples.record("t1")))
         fleet.losesHeartbeats = losesHeartbeats
         val sentMillis = mutableListOf<Long>()
         repeat(400) { round ->
@@ -145,7 +68,7 @@
     @ParameterizedTest
     @MethodSource("evidences")
     fun `a limit is learnt from an answer of the target to the request`(case: EvidenceCase) {
-        val fleet = Fleet(1, listOf(Samples.record("t1")), case.kind)
+        val fleet = RequestFleet(1, listOf(Samples.record("t1")), case.kind)
         fleet.serve()
         case.end(fleet.targets.sent.single())
         fleet.loop.advance(20)
@@ -157,7 +80,7 @@
     // Guards against an end that is taken from an answer which the target wrote before its need.
     @Test
     fun `only an answer to a request that was sent after the limit was named lifts it`() {
-        val fleet = Fleet(1, listOf(Samples.record("t1")))
+        val fleet = RequestFleet(1, listOf(Samples.record("t1")))
         repeat(3) { fleet.serve(id = "r$it") }
         val (first, second, third) = fleet.targets.sent.toList()
         first.answer(200, limit = 1.0)
@@ -175,7 +98,7 @@
     // Guards against callers that wait in vain, that are told too short a time, or that all return at the same moment.
     @Test
     fun `a call is refused at once with a spread time when all targets are at their limits`() {
-        val fleet = Fleet(1, listOf(Samples.record("t1"), Samples.record("t2")))
+        val fleet = RequestFleet(1, listOf(Samples.record("t1"), Samples.record("t2")))
         repeat(2) { fleet.serve(id = "r$it") }
         assertEquals(2, fleet.targets.sent.map { it.target.id }.distinct().size)
         fleet.targets.sent.toList().forEach { it.answer(200, limit = 0.5) }
@@ -192,7 +115,7 @@
     // Guards against a target that is sent to beyond its limit, or callers that are refused, while another is free.
     @Test
     fun `another target takes the requests that a limited one does not`() {
-        val fleet = Fleet(1, listOf(Samples.record("t1"), Samples.record("t2")))
+        val fleet = RequestFleet(1, listOf(Samples.record("t1"), Samples.record("t2")))
         fleet.serve()
         fleet.targets.sent[0].answer(200, limit = 1.0)
         repeat(8) {
@@ -206,7 +129,7 @@
     // Guards against a limit that outlives the process of the target that named it.
     @Test
     fun `a target that starts again under its id is not limited`() {
-        val fleet = Fleet(1, listOf(Samples.record("t1", started = 1)))
+        val fleet = RequestFleet(1, listOf(Samples.record("t1", started = 1)))
         fleet.serve()
         fleet.targets.sent[0].answer(200, limit = 0.0)
         assertEquals(503, fleet.serve(id = "r2").status)
@@ -219,7 +142,7 @@
     // Guards against permissions that are lost with each connection that cannot be opened.
     @Test
     fun `a request that reached no target does not count`() {
-        val fleet = Fleet(1, listOf(Samples.record("t1")))
+        val fleet = RequestFleet(1, listOf(Samples.record("t1")))
         fleet.serve()
         fleet.targets.sent[0].answer(200, limit = 0.25)
         fleet.loop.advance(4_100)
@@ -238,7 +161,7 @@
     @ParameterizedTest
     @ValueSource(doubles = [0.0, 1e-300, 0.001])
     fun `a target that takes next to nothing is asked now and then`(limit: Double) {
-        val fleet = Fleet(1, listOf(Samples.record("t1")))
+        val fleet = RequestFleet(1, listOf(Samples.record("t1")))
         fleet.serve()
         fleet.targets.sent[0].answer(200, limit = limit)
         repeat(200) {
@@ -253,7 +176,7 @@
     // Guards against a limit that only the VMs keep that the target told, and one that outlives its end elsewhere.
     @Test
     fun `a VM that the target never told keeps the limit until another VM learns of its end`() {
-        val fleet = Fleet(2, listOf(Samples.record("t1")))
+        val fleet = RequestFleet(2, listOf(Samples.record("t1")))
         fleet.serve(0)
         fleet.targets.sent[0].answer(200, limit = 1.0)
         fleet.loop.advance(300)
@@ -270,9 +193,6 @@
     }
 
     companion object {
-        private const val FIRST_PORT = 7_600
-        private const val HEARTBEAT_LAG_MILLIS = 30L
-
         @JvmStatic
         fun evidences() = listOf(
             EvidenceCase("a success", true) { it.answer(200, limit = 1.0) },
