Record what targets state about themselves in their answers

Change: both headers are decoded, in answers to requests and in those to orders and calls for reports, when the head arrives. target.leaving and target.resting name the target, the kind of answer and the time; they are counted like all events. Nothing acts on them yet. A rest is bounded by the longest lease of the platform.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -42,6 +42,7 @@
 import dev.bergamotwind.serving.targets.TargetPicker
 import dev.bergamotwind.serving.targets.TargetRegistry
 import dev.bergamotwind.serving.targets.TargetSendLimits
+import dev.bergamotwind.serving.targets.TargetStatements
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.cbor.Cbor
 import java.net.InetSocketAddress
@@ -134,6 +135,10 @@
         context.rateLimiter.onLargeUse = ::scheduleEarlyHeartbeat
         lease.onGranted = ::register
         election.onTermEnded = placement::abandonOrders
+        ports.orders.onStatement = { record, statement, sentMillis ->
+            val target = targets.target(record.id)?.takeIf { it.record.startedWallMillis == record.startedWallMillis }
+            target?.let { context.statements.apply(it, statement, sentMillis, "engine call") }
+        }
         lease.onRenewed = storeWatcher::recordContact
         lease.onRecovered = storeWatcher::onStoreAnswersAgain
         storeWatcher.start()
@@ -427,6 +432,7 @@
                     scheduleEarlyHeartbeat()
                 },
             )
+        override val statements = TargetStatements(targets, ports.loop, ports.recorder)
         override val transport: TargetTransport get() = ports.transport
         override val rateLimiter = FleetRateLimiter(ports.loop, settings.rateToleranceTokens) { peers.reachableShare }
         override val waitingCalls = WaitingCalls()
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallAttempt.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallAttempt.kt
@@ -82,6 +82,7 @@
         val isOwn = head.belongsToRequest && (!head.isSuccess || head.isSigned)
         if (isOwn && !head.answeredByOther) {
             context.picker.sendLimits.applyAnswer(target, head.requestLimitPerSecond, load.sentMillis)
+            context.statements.apply(target, head.statement, load.sentMillis, "answer")
         }
         when {
             !isOwn ->
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ResponseHead.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ResponseHead.kt
@@ -2,6 +2,7 @@
 
 import dev.bergamotwind.api.Header
 import dev.bergamotwind.serving.targets.ReportedLoad
+import dev.bergamotwind.serving.targets.TargetStatement
 
 /** Status and headers of a target's response, with what they state about the request. */
 public data class ResponseHead(
@@ -22,6 +23,8 @@
     val load: ReportedLoad?,
     /** Requests a second that the target takes from all VMs together for now, or null when it names no limit. */
     val requestLimitPerSecond: Double? = null,
+    /** What the target states about itself. */
+    val statement: TargetStatement = TargetStatement(),
 ) {
     /** True for a 2xx status. */
     val isSuccess: Boolean get() = status in SUCCESS
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ServingContext.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ServingContext.kt
@@ -9,6 +9,7 @@
 import dev.bergamotwind.serving.placement.DemandMeter
 import dev.bergamotwind.serving.rate.FleetRateLimiter
 import dev.bergamotwind.serving.targets.TargetPicker
+import dev.bergamotwind.serving.targets.TargetStatements
 import kotlin.random.Random
 
 /** State and services that all calls of a VM share. */
@@ -21,6 +22,9 @@
     /** True while the first read of the store is in progress and has not failed, so a configuration is due at once. */
     val isReadingConfiguration: Boolean
     val picker: TargetPicker
+
+    /** What targets have stated about themselves. */
+    val statements: TargetStatements
     val transport: TargetTransport
     val rateLimiter: FleetRateLimiter
     val waitingCalls: WaitingCalls
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/Defaults.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/Defaults.kt
@@ -72,6 +72,12 @@
 /** Share of an engine's memory that may be filled by requests; cached prompt parts need the rest. */
 internal const val USABLE_MEMORY_SHARE = 0.95
 
+/**
+ * Longest rest in milliseconds that a target can ask for at once, and longest time for which its statements outlive its
+ * entry in the store. No lease of the platform is longer, so a target that is still there has said more by then.
+ */
+internal const val TARGET_STATEMENT_LIFETIME_MILLIS = 600_000L
+
 /** Milliseconds in which the running requests of an engine are replaced once. */
 internal const val TURNOVER_MILLIS = 2_000.0
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetState.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetState.kt
@@ -5,7 +5,12 @@
 import dev.bergamotwind.api.VmId
 
 /** Everything that a VM knows about one target. Used on the serving loop. */
-public class TargetState internal constructor(record: TargetRecord, nowMillis: Long) {
+public class TargetState internal constructor(
+    record: TargetRecord,
+    nowMillis: Long,
+    /** What the target has stated about taking work. */
+    internal val availability: TargetAvailability = TargetAvailability(),
+) {
     /** The latest record of the target. */
     public var record: TargetRecord = record
         private set
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Fakes.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Fakes.kt
@@ -23,6 +23,7 @@
 import dev.bergamotwind.serving.store.StoreReply
 import dev.bergamotwind.serving.store.StoreWrite
 import dev.bergamotwind.serving.targets.TargetRecord
+import dev.bergamotwind.serving.targets.TargetStatement
 
 /** Records what a caller receives. */
 class FakeExchange : CallerExchange {
@@ -90,8 +91,9 @@
             isSigned: Boolean = !notRun,
             isOwn: Boolean = true,
             limit: Double? = null,
+            statement: TargetStatement = TargetStatement(),
         ) = listener.onHead(
-            ResponseHead(status, emptyList(), notRun, status == 421, false, isSigned, isOwn, null, limit),
+            ResponseHead(status, emptyList(), notRun, status == 421, false, isSigned, isOwn, null, limit, statement),
         )
 
         fun answer(
@@ -100,8 +102,9 @@
             notRun: Boolean = false,
             isSigned: Boolean = !notRun,
             limit: Double? = null,
+            statement: TargetStatement = TargetStatement(),
         ) {
-            head(status, notRun, isSigned, limit = limit)
+            head(status, notRun, isSigned, limit = limit, statement = statement)
             listener.onBody(body.toByteArray())
             listener.onComplete()
         }
@@ -117,6 +120,7 @@
 
 /** Records the orders and answers them with [onReport] and [onOrder]. */
 class FakeOrders : OrderTransport {
+    override var onStatement: ((TargetRecord, TargetStatement, Long) -> Unit)? = null
     var onReport: (TargetRecord) -> TargetReport? = { TargetReport(it.models, false, 0) }
     var onOrder: (
         TargetRecord,
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/OrderFleet.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/OrderFleet.kt
@@ -26,6 +26,7 @@
 import dev.bergamotwind.serving.store.StoreReply
 import dev.bergamotwind.serving.store.StoreWrite
 import dev.bergamotwind.serving.targets.TargetRecord
+import dev.bergamotwind.serving.targets.TargetStatement
 import java.net.InetSocketAddress
 import kotlin.random.Random
 
@@ -189,6 +190,8 @@
 
     /** The engines as one process reaches them: a cut holds up what was sent, and answers. */
     private inner class LinkedOrders(private val process: Process) : OrderTransport {
+        override var onStatement: ((TargetRecord, TargetStatement, Long) -> Unit)? = null
+
         override fun requestReport(target: TargetRecord, reply: (TargetReport?) -> Unit) {
             val isReachable = !process.machine.isCutFromEngines
             process.schedule(if (isReachable) LATENCY_MILLIS else ORDER_TIMEOUT_MILLIS) {
