Send no new work to targets that say in an answer that they leave

Callers saw retries and cut streams, because requests went on to targets that had announced their end (DRAIN). Cause: only a target's entry in the store was read, which lags, or still says ready while a VM is cut off from the store. Class of fault: a target's own word, ignored in favour of what others write about it. Only another start of the target ends its leaving; an entry that lapses, is unreadable or is written again does not. What runs at the target is finished.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/EngineCrashDetector.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/EngineCrashDetector.kt
@@ -3,7 +3,6 @@
 import dev.bergamotwind.api.EventRecorder
 import dev.bergamotwind.core.event
 import dev.bergamotwind.serving.ServingLoop
-import dev.bergamotwind.serving.targets.TargetLifecycle
 import dev.bergamotwind.serving.targets.TargetState
 
 /**
@@ -23,7 +22,7 @@
 
     /** Handles an attempt at [target] whose connection ended. */
     fun onBroken(target: TargetState, attempt: BrokenAttempt) {
-        if (target.record.lifecycle != TargetLifecycle.READY) return
+        if (!target.acceptsWork) return
         val attempts = broken.getOrPut(target) { mutableListOf() }
         attempts += attempt
         // The store tells of the end of an engine only seconds later, and few requests are sent to it until then.
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementManager.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementManager.kt
@@ -13,7 +13,6 @@
 import dev.bergamotwind.serving.peer.ExpectedModel
 import dev.bergamotwind.serving.peer.ModelDemand
 import dev.bergamotwind.serving.peer.TargetHoldings
-import dev.bergamotwind.serving.targets.TargetLifecycle
 import dev.bergamotwind.serving.targets.TargetRegistry
 import dev.bergamotwind.serving.targets.TargetState
 
@@ -153,7 +152,7 @@
 
     private fun syncEngines(configuration: ServedConfiguration) {
         val targets = book.all.filter {
-            it.record.lifecycle == TargetLifecycle.READY && configuration.services[it.record.service]?.engine != null
+            it.acceptsWork && configuration.services[it.record.service]?.engine != null
         }
         val present = targets.associateBy { it.record.id }
         engines.entries.removeIf { (id, engine) -> present[id] !== engine.target }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetAvailability.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetAvailability.kt
@@ -26,6 +26,9 @@
         }
     }
 
+    /** True while the statements restrict what may be sent. */
+    fun isRestricted(nowMillis: Long): Boolean = isLeaving || isResting(nowMillis)
+
     /** True while the target rests. */
     fun isResting(nowMillis: Long): Boolean = restEndMillis.let { it != null && nowMillis < it }
 }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetPicker.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetPicker.kt
@@ -37,7 +37,7 @@
     fun isModelLoaded(criteria: TargetCriteria, model: ModelId): Boolean {
         val now = loop.nowMillis()
         return registry.targetsOf(criteria.service.id).any {
-            it.record.lifecycle == TargetLifecycle.READY &&
+            it.acceptsWork &&
                 it.hasLoaded(model, null, now) &&
                 !it.health.isSuspended(now)
         }
@@ -98,11 +98,10 @@
     private fun isUsable(target: TargetState, criteria: TargetCriteria, now: Long): Boolean =
         couldTake(target, criteria, now) && sendLimits.maySend(target)
 
-    private fun couldTake(target: TargetState, criteria: TargetCriteria, now: Long): Boolean =
-        target.record.lifecycle == TargetLifecycle.READY &&
-            target.record.id !in criteria.excluded &&
-            target.attempts.size < criteria.connectionLimit &&
-            (criteria.modelRequest == null || target.hasLoaded(criteria.modelRequest.model, null, now))
+    private fun couldTake(target: TargetState, criteria: TargetCriteria, now: Long): Boolean = target.acceptsWork &&
+        target.record.id !in criteria.excluded &&
+        target.attempts.size < criteria.connectionLimit &&
+        (criteria.modelRequest == null || target.hasLoaded(criteria.modelRequest.model, null, now))
 
     /** Returns the choice of [target] and the penalty in milliseconds that is added to its prediction. */
     private fun evaluate(
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetRegistry.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetRegistry.kt
@@ -11,6 +11,7 @@
 public class TargetRegistry(private val loop: ServingLoop) {
     private val targets = LinkedHashMap<TargetId, TargetState>()
     private val byService = HashMap<ServiceId, MutableList<TargetState>>()
+    private val departed = DepartedTargets()
 
     /** Called when a target was added, updated or removed, or when its loaded models have changed. */
     public var onChange: (() -> Unit)? = null
@@ -39,7 +40,7 @@
             known.update(record, loop.nowMillis())
         } else {
             val replaced = detach(record.id)
-            val state = TargetState(record, loop.nowMillis())
+            val state = TargetState(record, loop.nowMillis(), departed.take(record))
             targets[record.id] = state
             byService.getOrPut(record.service) { mutableListOf() } += state
             replaced?.let { onEnded?.invoke(it) }
@@ -54,8 +55,10 @@
         onChange?.invoke()
     }
 
-    private fun detach(id: TargetId): TargetState? =
-        targets.remove(id)?.also { byService[it.record.service]?.remove(it) }
+    private fun detach(id: TargetId): TargetState? = targets.remove(id)?.also {
+        byService[it.record.service]?.remove(it)
+        departed.add(it, loop.nowMillis())
+    }
 
     /** Applies the loaded models of [id] that the placement holder has announced. */
     public fun applyLoadedModels(id: TargetId, models: Map<ModelId, Set<AdapterId>>) {
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetState.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetState.kt
@@ -38,6 +38,9 @@
     /** Loaded models, each with its adapters. */
     public val models: Map<ModelId, Set<AdapterId>> get() = loadedModels
 
+    /** False when the target is leaving, by its entry in the store or by its own answers. */
+    internal val acceptsWork: Boolean get() = record.lifecycle == TargetLifecycle.READY && !availability.isLeaving
+
     /** True while the target is still slow after its start. */
     internal fun isCold(nowMillis: Long): Boolean = nowMillis < coldUntilMillis
 
