Keep the rest that targets ask for when they turn a VM away

Cause: the time in a refusal was not read; a refusal only lowered the health of the target, and the last target of a service is never excluded for its health. Class of fault: a target's own word, inferred from its failures instead of read. Its health is not lowered for having said so. Calls that only resting targets serve are refused at once with a time that follows from the earliest end, also the call whose request was turned away, and without using the retry budget.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallAttempt.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallAttempt.kt
@@ -167,7 +167,7 @@
 
     private fun fail(reason: String) {
         handle?.cancel()
-        target.health.recordFailure(now)
+        if (head?.statement?.restMillis == null) target.health.recordFailure(now)
         outcomeHandler.onFailed(this, reason)
     }
 
@@ -193,7 +193,8 @@
                 mayRetryTarget = true
             }
 
-            else -> target.health.recordFailure(now)
+            // A target that says what it takes is sound.
+            !head.statement.isRestricting -> target.health.recordFailure(now)
         }
         outcomeHandler.onNotRun(this, "refused with status ${head.status}", reachedTarget = true)
     }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallHandler.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallHandler.kt
@@ -145,6 +145,7 @@
     private fun handleNoTarget(criteria: TargetCriteria) {
         val modelRequest = call.modelRequest
         val millisUntilWithinLimits = context.picker.millisUntilWithinLimits(criteria)
+        val millisUntilRested = context.picker.millisUntilRested(criteria)
         val remaining = progress.remainingToFirstEventMillis
         val expected = modelRequest?.let(context::expectedLoadMillis) ?: DEFAULT_MODEL_LOAD_MILLIS
         val mayWait = modelRequest != null && criteria.service.engine != null &&
@@ -153,6 +154,8 @@
             millisUntilWithinLimits != null ->
                 refuse(progress.limitRefusal(criteria.service.id, millisUntilWithinLimits))
 
+            millisUntilRested != null -> refuse(progress.restRefusal(criteria.service.id, millisUntilRested))
+
             modelRequest == null || !mayWait || context.picker.isModelLoaded(criteria, modelRequest.model) ->
                 refuse(Refusal(RefusalKind.OVERLOADED, "no target can take the request", SHORT_RETRY_AFTER_MILLIS))
 
@@ -234,7 +237,8 @@
         progress.lastFailure = reason
         progress.excludedTargets += attempt.target.record.id
         events.recordFailedAttempt(attempt, reason)
-        val again = progress.mayRunAgain && context.tryTakeRetry(attempt.target.record.service)
+        val mayRunAgain = progress.mayRunAgain && progress.millisUntilRested(call) == null
+        val again = mayRunAgain && context.tryTakeRetry(attempt.target.record.service)
         if (again) dispatch() else refuse(Refusal(RefusalKind.TARGET_FAILED, reason))
     }
 
@@ -245,9 +249,19 @@
         progress.lastFailure = reason
         events.recordFailedAttempt(attempt, reason)
         if (!attempt.mayRetryTarget) progress.excludedTargets += attempt.target.record.id
-        // Attempts that reached no target do not count against the retry budget.
-        val again = progress.maySendAgain && (!reachedTarget || context.tryTakeRetry(attempt.target.record.service))
-        if (again) dispatch() else refuse(Refusal(RefusalKind.OVERLOADED, reason, SHORT_RETRY_AFTER_MILLIS))
+        val restMillis = progress.millisUntilRested(call)
+        when {
+            restMillis != null -> refuse(progress.restRefusal(attempt.target.record.service, restMillis))
+
+            // Attempts that reached no target do not count against the retry budget.
+            progress.maySendAgain && (
+                !reachedTarget || context.tryTakeRetry(
+                    attempt.target.record.service,
+                )
+                ) -> dispatch()
+
+            else -> refuse(Refusal(RefusalKind.OVERLOADED, reason, SHORT_RETRY_AFTER_MILLIS))
+        }
     }
 
     override fun onAnswered(attempt: CallAttempt, status: Int) {
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
@@ -95,6 +95,10 @@
         return context.picker.pick(targetCriteria(current, call.modelRequest, excluded)) != null
     }
 
+    /** Milliseconds until the first of the targets that serve [call] has rested; null when one has not asked for rest. */
+    fun millisUntilRested(call: Call): Long? =
+        service?.let { context.picker.millisUntilRested(targetCriteria(it, call.modelRequest, excludedTargets)) }
+
     /**
      * Largest predicted time to the first event at which the call is still sent to a target. A longer queue would not
      * increase an engine's throughput; it would only delay all later requests and slow down the running streams.
@@ -116,11 +120,21 @@
 
     /**
      * Returns the refusal of a call while all targets of [service] that could take it are at the limits that they
-     * named, the first of them for [millis] more. Callers return at different times, so that few find it used again.
+     * named, the first of them for [millis] more.
      */
-    fun limitRefusal(service: ServiceId, millis: Long): Refusal {
+    fun limitRefusal(service: ServiceId, millis: Long): Refusal =
+        pauseRefusal("all targets of service $service are at the request limits that they named", millis)
+
+    /**
+     * Returns the refusal of a call while all targets of [service] that serve it rest as they have asked, the first of
+     * them for [millis] more.
+     */
+    fun restRefusal(service: ServiceId, millis: Long): Refusal =
+        pauseRefusal("all targets of service $service have asked for rest", millis)
+
+    // Callers return at different times, so that few find the target in use again.
+    private fun pauseRefusal(reason: String, millis: Long): Refusal {
         val retryAfter = (millis * (1 + context.random.nextDouble())).toLong().coerceAtLeast(SHORT_RETRY_AFTER_MILLIS)
-        val reason = "all targets of service $service are at the request limits that they named"
         return Refusal(RefusalKind.OVERLOADED, reason, retryAfter)
     }
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/EngineCrashDetector.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/EngineCrashDetector.kt
@@ -26,7 +26,11 @@
         val attempts = broken.getOrPut(target) { mutableListOf() }
         attempts += attempt
         // The store tells of the end of an engine only seconds later, and few requests are sent to it until then.
-        if (attempts.size == 1) probe(target) { isRunning -> if (!isRunning) onEnded(target) }
+        if (attempts.size == 1 &&
+            !target.availability.isResting(loop.nowMillis())
+        ) {
+            probe(target) { isRunning -> if (!isRunning) onEnded(target) }
+        }
     }
 
     /** Handles a success of [target] for an attempt sent at [sentMillis]: what broke before was not a crash. */
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/EngineOrderDispatcher.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/EngineOrderDispatcher.kt
@@ -44,7 +44,7 @@
     fun sendNextOrder(profile: EngineProfile) {
         this.profile = profile
         val now = loop.nowMillis()
-        if (isRetired || engine.isCallPending || now < engine.pausedUntilMillis) return
+        if (isRetired || engine.isCallPending || now < engine.nextCallMillis) return
         val operation = engine.operation
         when {
             engine.acceptedOrders == null -> requestReport()
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/EngineState.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/EngineState.kt
@@ -32,6 +32,9 @@
     /** Time before which the engine gets neither orders nor calls for reports. */
     var pausedUntilMillis = 0L
 
+    /** Time before which the engine gets no calls, because of a pause or because it has asked for rest. */
+    val nextCallMillis: Long get() = maxOf(pausedUntilMillis, target.availability.restEndMillis ?: 0)
+
     /** The load or unload of a model that the engine is executing, or null. */
     var operation: ModelOperation? = null
 
@@ -89,7 +92,7 @@
         // An engine that is asked for a report after an order, or paused briefly, takes the next order before a planned
         // swap expires; one that has not answered for longer does not.
         val isAnswering = acceptedOrders != null || nowMillis - lastContactMillis < PLANNED_SWAP_TIMEOUT_MILLIS
-        val isPaused = nowMillis + PLANNED_SWAP_TIMEOUT_MILLIS / 2 < pausedUntilMillis
+        val isPaused = nowMillis + PLANNED_SWAP_TIMEOUT_MILLIS / 2 < nextCallMillis
         val isIdle = isAnswering && operation == null && swap == null && !isPaused
         return EngineSnapshot(
             target = record.id,
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetPicker.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetPicker.kt
@@ -53,9 +53,20 @@
             ?.let(sendLimits::millisUntilAvailable)
     }
 
+    /**
+     * Milliseconds until the first of the targets that serve the request has rested as it has asked, or null when one of
+     * them has not asked for rest. Targets that have failed the request count as well: its caller may come back.
+     */
+    fun millisUntilRested(criteria: TargetCriteria): Long? {
+        val now = loop.nowMillis()
+        val serving = registry.targetsOf(criteria.service.id).filter { servesRequest(it, criteria, now) }
+        return serving.minOfOrNull { it.availability.millisUntilAvailable(now) }?.takeIf { it > 0 }
+    }
+
     /** Records that a request was sent to the chosen target; the result is passed to [recordEnd]. */
     fun recordSent(choice: TargetChoice, request: ModelRequest?, priority: PriorityClass): AttemptLoad {
         val now = loop.nowMillis()
+        choice.target.availability.recordSent(now)
         request?.let {
             choice.target.promptCache.recordSent(it)
             processingTimes.recordPrefill(it, choice.prefillMillis)
@@ -98,9 +109,13 @@
     private fun isUsable(target: TargetState, criteria: TargetCriteria, now: Long): Boolean =
         couldTake(target, criteria, now) && sendLimits.maySend(target)
 
-    private fun couldTake(target: TargetState, criteria: TargetCriteria, now: Long): Boolean = target.acceptsWork &&
-        target.record.id !in criteria.excluded &&
-        target.attempts.size < criteria.connectionLimit &&
+    private fun couldTake(target: TargetState, criteria: TargetCriteria, now: Long): Boolean =
+        servesRequest(target, criteria, now) &&
+            target.availability.millisUntilAvailable(now) == 0L &&
+            target.record.id !in criteria.excluded &&
+            target.attempts.size < criteria.connectionLimit
+
+    private fun servesRequest(target: TargetState, criteria: TargetCriteria, now: Long): Boolean = target.acceptsWork &&
         (criteria.modelRequest == null || target.hasLoaded(criteria.modelRequest.model, null, now))
 
     /** Returns the choice of [target] and the penalty in milliseconds that is added to its prediction. */
