Follow the era of the store and record its return from an older copy

Change: the platform's client reads the era from the head of every answer of the store. StoreEraTracker tells a return by a higher era, once, and rejects answers of an earlier era, which may arrive after it. An answer without an era changes nothing. store.new-era and store.outdated-answer record both. Nothing follows from a new era yet.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -32,6 +32,7 @@
 import dev.bergamotwind.serving.placement.PlacementManager
 import dev.bergamotwind.serving.rate.FleetRateLimiter
 import dev.bergamotwind.serving.rate.VmRetryBudget
+import dev.bergamotwind.serving.store.StoreEraTracker
 import dev.bergamotwind.serving.store.StoreItem
 import dev.bergamotwind.serving.store.StoreListener
 import dev.bergamotwind.serving.store.StorePut
@@ -62,6 +63,7 @@
     private val guard = StepGuard(recorder)
     private val incarnation = loop.wallMillis()
     private val targets = TargetRegistry(loop)
+    private val eras = StoreEraTracker(recorder)
     private val lease = VmLease(ports.store, loop, settings.leaseMillis, random, recorder)
     private val election = PlacementElection(
         ports.store,
@@ -130,6 +132,7 @@
             field("failure_domain", settings.failureDomain)
             field("first_start", settings.isFirstStart)
         }
+        ports.store.onEra = eras::accept
         targets.onChange = ::scheduleWakeUp
         targets.onEnded = context.crashes::onEnded
         context.rateLimiter.onLargeUse = ::scheduleEarlyHeartbeat
@@ -203,6 +206,7 @@
         field("vms", peers.count)
         field("heard_share", peers.reachableShare)
         field("lease_age_millis", lease.ageMillis)
+        field("store_era", eras.current)
         field("configuration", configuration?.version)
         field("term", election.term)
         field("refused_parts", context.quarantine.refusedParts.joinToString(",") { it.id.toString() }.ifEmpty { null })
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/FleetStore.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/FleetStore.kt
@@ -2,6 +2,12 @@
 
 /** Client of the platform's store. Calls return at once; replies arrive on the serving loop, exactly once. */
 public interface FleetStore {
+    /**
+     * Called with the era that an answer names, or null, before the reply to the call; when it returns false, the reply
+     * is [StoreFailure.UNKNOWN].
+     */
+    public var onEra: ((StoreEra?) -> Boolean)?
+
     /** Reads a page of the items whose keys start with [prefix] and sort after [after]. */
     public fun readRange(prefix: String, after: String?, reply: StoreReply<StorePage>)
 
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Fakes.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Fakes.kt
@@ -16,6 +16,7 @@
 import dev.bergamotwind.serving.store.FleetStore
 import dev.bergamotwind.serving.store.StoreChange
 import dev.bergamotwind.serving.store.StoreChanges
+import dev.bergamotwind.serving.store.StoreEra
 import dev.bergamotwind.serving.store.StoreFailure
 import dev.bergamotwind.serving.store.StoreItem
 import dev.bergamotwind.serving.store.StoreLease
@@ -151,6 +152,7 @@
 class FakeStore(private val loop: ManualLoop) : FleetStore {
     private class Watch(val prefix: String, val after: Long, val reply: StoreReply<StoreChanges>)
 
+    override var onEra: ((StoreEra?) -> Boolean)? = null
     val items = sortedMapOf<String, StoreItem>()
     private val changeLog = mutableListOf<StoreChange>()
     private val watches = mutableListOf<Watch>()
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/OrderFleet.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/OrderFleet.kt
@@ -19,6 +19,7 @@
 import dev.bergamotwind.serving.placement.TargetReport
 import dev.bergamotwind.serving.store.FleetStore
 import dev.bergamotwind.serving.store.StoreChanges
+import dev.bergamotwind.serving.store.StoreEra
 import dev.bergamotwind.serving.store.StoreFailure
 import dev.bergamotwind.serving.store.StoreItem
 import dev.bergamotwind.serving.store.StoreLease
@@ -150,6 +151,8 @@
 
     /** The store as one process reaches it: calls and answers are lost while its machine is cut off. */
     private inner class LinkedStore(private val process: Process) : FleetStore {
+        override var onEra: ((StoreEra?) -> Boolean)? = null
+
         private fun <T> linked(timeoutMillis: Long, reply: StoreReply<T>, call: (StoreReply<T>) -> Unit) {
             var isAnswered = false
             val answer: StoreReply<T> = { result ->
