Read all items again when the store has returned from an older copy

Cause: the watch goes on from a revision of the earlier era. Where the store has overtaken it the watch is not refused, and what was written below it is never told. Class of fault: a number of an earlier copy, taken for the same number of the present one. Change: with a new era the watcher gives up what it waits for and reads all items once. Keys that the copy lacks are told as lost, not as removed; targets have the time to write their entries again. Answers to calls of before are not used. StoreWatcherSpec, PlacementElectionSpec and TargetListenerSpec pass.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -133,6 +133,7 @@
             field("first_start", settings.isFirstStart)
         }
         ports.store.onEra = eras::accept
+        eras.addListener(storeWatcher::onNewEra)
         targets.onChange = ::scheduleWakeUp
         targets.onEnded = context.crashes::onEnded
         context.rateLimiter.onLargeUse = ::scheduleEarlyHeartbeat
@@ -370,6 +371,15 @@
             }
         }
 
+        override fun onKeyLost(key: String) {
+            when {
+                key.startsWith(ports.layout.targetsPrefix) -> targetListener.onKeyLost(key)
+                key.startsWith(PlacementElection.KEY_PREFIX) -> election.onKeyRemoved(key)
+                key.startsWith(MEMBER_KEY_PREFIX) -> peers.onDeregistered(VmId(key.removePrefix(MEMBER_KEY_PREFIX)))
+                key.startsWith(StoredPromptParts.KEY_PREFIX) -> storedPromptParts.onKeyRemoved(key)
+            }
+        }
+
         override fun onSynced() {
             isSynced = true
             election.onSynced()
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/TargetListener.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/TargetListener.kt
@@ -53,8 +53,14 @@
     fun onKeyRemoved(key: String) {
         val id = decoder.targetId(key)
         presentTargets -= id
-        val wait = trustRemovalsAfterMillis?.let { it - loop.nowMillis() } ?: 0
-        if (wait <= 0) removeTarget(id) else loop.schedule(wait) { if (id !in presentTargets) removeTarget(id) }
+        removeUnlessPresent(id, trustRemovalsAfterMillis?.let { it - loop.nowMillis() } ?: 0)
+    }
+
+    /** Handles an entry that the store has lost; a target that is alive writes it again. */
+    fun onKeyLost(key: String) {
+        val id = decoder.targetId(key)
+        presentTargets -= id
+        removeUnlessPresent(id, ENTRY_REWRITE_MILLIS)
     }
 
     /** Handles the recovery of the store after [outageMillis]; entries expire only after a few missed heartbeats. */
@@ -62,6 +68,14 @@
         if (outageMillis >= MIN_ENTRY_EXPIRY_MILLIS) trustRemovalsAfterMillis = loop.nowMillis() + ENTRY_REWRITE_MILLIS
     }
 
+    private fun removeUnlessPresent(id: TargetId, waitMillis: Long) {
+        if (waitMillis <= 0) {
+            removeTarget(id)
+        } else {
+            loop.schedule(waitMillis) { if (id !in presentTargets) removeTarget(id) }
+        }
+    }
+
     private fun removeTarget(id: TargetId) {
         if (targets.target(id) == null) return
         recorder.event("target.gone") { field("target", id) }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/StoreListener.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/StoreListener.kt
@@ -8,6 +8,12 @@
     /** Called when the item at [key] was removed. */
     public fun onKeyRemoved(key: String)
 
+    /**
+     * Called when the store has returned from a copy without the item at [key]. Nobody has removed the item; whoever
+     * wrote it may write it again.
+     */
+    public fun onKeyLost(key: String)
+
     /** Called when all items have been read. */
     public fun onSynced()
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/StoreWatcher.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/StoreWatcher.kt
@@ -32,6 +32,13 @@
     private var isPausing = false
     private var isWatchPending = false
     private var cancelWatch: () -> Unit = {}
+    private var cancelRetry: () -> Unit = {}
+
+    /** Number of new eras; answers to calls that were made before the latest one are not used. */
+    private var eraCount = 0
+
+    /** True until all items of a new era have been read. */
+    private var isReadingNewEra = false
     private var watchStartedMillis: Long? = null
     private var lastContactMillis: Long? = null
 
@@ -63,6 +70,22 @@
         orReadAgain("watch", ::startWatch)
     }
 
+    /**
+     * Reads all items again, because the store has returned from an older copy: the revision reached belongs to an
+     * earlier era, and the store may have given it out again.
+     */
+    public fun onNewEra() {
+        if (isStopped) return
+        eraCount++
+        cancelWatch()
+        cancelRetry()
+        isPausing = false
+        isWatchPending = false
+        isReadingNewEra = true
+        revision = null
+        orReadAgain("items of a new era", ::readAll)
+    }
+
     /** Starts watching. */
     public fun start(): Unit = orReadAgain("start", ::readAll)
 
@@ -76,7 +99,9 @@
 
     private fun readPage(progress: ReadProgress) {
         if (isStopped) return
+        val era = eraCount
         store.readRange(prefix, progress.lastKey) { result ->
+            if (era != eraCount) return@readRange
             orReadAgain("page of items") {
                 result.fold({ scheduleRetry(::readAll) }) { page -> applyPage(page, progress) }
             }
@@ -101,7 +126,8 @@
         val removedKeys = knownKeys.filter { it !in progress.presentKeys }
         knownKeys -= removedKeys.toSet()
         revision = from
-        removedKeys.forEach(::notifyRemoved)
+        removedKeys.forEach(if (isReadingNewEra) ::notifyLost else ::notifyRemoved)
+        isReadingNewEra = false
         guard.runIsolated("caught up", listener::onSynced)
         scheduleWatch()
     }
@@ -122,7 +148,9 @@
         if (isStopped || after == null) return
         watchStartedMillis = loop.nowMillis()
         isWatchPending = true
+        val era = eraCount
         cancelWatch = store.watch(prefix, after, WATCH_TIMEOUT_MILLIS) { result ->
+            if (era != eraCount) return@watch
             isWatchPending = false
             orReadAgain("changes") {
                 result.fold(::onWatchFailed) { changes ->
@@ -172,6 +200,8 @@
 
     private fun notifyRemoved(key: String) = guard.runIsolated("removal of $key") { listener.onKeyRemoved(key) }
 
+    private fun notifyLost(key: String) = guard.runIsolated("loss of $key") { listener.onKeyLost(key) }
+
     private fun notifyRecovered() {
         val outageMillis = lastContactMillis?.let { loop.nowMillis() - it } ?: 0
         guard.runIsolated("recovery of the store") { listener.onStoreRecovered(outageMillis) }
@@ -191,6 +221,6 @@
 
     private fun scheduleRetry(action: () -> Unit) {
         if (failures++ == 0) recorder.event("store.lost") { field("prefix", prefix) }
-        loop.schedule(Backoff.delayMillis(failures, random)) { orReadAgain("retry", action) }
+        cancelRetry = loop.schedule(Backoff.delayMillis(failures, random)) { orReadAgain("retry", action) }
     }
 }
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Fakes.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Fakes.kt
@@ -159,6 +159,10 @@
     private val leases = HashMap<Long, Pair<Long, () -> Unit>>()
     private var revision = 1L
     private var lastLeaseId = 100L
+
+    /** The era that answers name, or null while this store names none. */
+    var era: StoreEra? = null
+        private set
     private var compactedUntil = 0L
     var failure: StoreFailure? = null
     var losesAnswers = false
@@ -183,6 +187,35 @@
         watches.toList().forEach { endWatch(it) { reply -> reply(StoreFailure.HISTORY_GONE.left()) } }
     }
 
+    /** What the store holds at one moment. */
+    class Copy internal constructor(
+        internal val items: Map<String, StoreItem>,
+        internal val revision: Long,
+        internal val leases: Map<Long, Long>,
+        internal val lastLeaseId: Long,
+    )
+
+    /** Starts to name an era in each answer. */
+    fun nameEra() {
+        era = StoreEra(1)
+    }
+
+    fun copy() = Copy(items.toMap(), revision, leases.mapValues { it.value.first }, lastLeaseId)
+
+    /** Returns to [copy]: what was written since is gone, and revisions and ids of leases are given out again. */
+    fun restore(copy: Copy) {
+        era = StoreEra((era?.number ?: 0) + 1)
+        leases.values.forEach { (_, cancel) -> cancel() }
+        leases.clear()
+        copy.leases.forEach { (id, timeToLive) -> leases[id] = timeToLive to scheduleExpiry(id, timeToLive) }
+        items.clear()
+        items.putAll(copy.items)
+        revision = copy.revision
+        lastLeaseId = copy.lastLeaseId
+        changeLog.removeIf { it.revision > revision }
+        failWatches()
+    }
+
     fun failWatches() = watches.toList().forEach { endWatch(it) { reply -> reply(StoreFailure.UNKNOWN.left()) } }
 
     override fun readRange(prefix: String, after: String?, reply: StoreReply<StorePage>) = replyLater(reply) {
@@ -197,7 +230,7 @@
         when {
             failure != null -> loop.schedule(1) { reply(failure!!.left()) }
 
-            after < compactedUntil -> loop.schedule(1) { reply(StoreFailure.HISTORY_GONE.left()) }
+            after < compactedUntil || after > revision -> loop.schedule(1) { reply(StoreFailure.HISTORY_GONE.left()) }
 
             else -> {
                 watches += watch
@@ -270,3 +303,32 @@
         if (watches.remove(watch)) answer(watch.reply)
     }
 }
+
+/** The store as one VM reaches it, which hears the era with each answer. */
+open class EraReportingStore(private val store: FakeStore) : FleetStore by store {
+    override var onEra: ((StoreEra?) -> Boolean)? = null
+
+    override fun readRange(prefix: String, after: String?, reply: StoreReply<StorePage>) =
+        store.readRange(prefix, after, reporting(reply))
+
+    override fun watch(prefix: String, after: Long, waitMillis: Long, reply: StoreReply<StoreChanges>): () -> Unit {
+        var isCancelled = false
+        val cancel = store.watch(prefix, after, waitMillis) { if (!isCancelled) reporting(reply)(it) }
+        return {
+            isCancelled = true
+            cancel()
+        }
+    }
+
+    override fun write(write: StoreWrite, reply: StoreReply<Long>) = store.write(write, reporting(reply))
+
+    override fun grantLease(timeToLiveMillis: Long, reply: StoreReply<StoreLease>) =
+        store.grantLease(timeToLiveMillis, reporting(reply))
+
+    override fun renewLease(lease: Long, reply: StoreReply<Long>) = store.renewLease(lease, reporting(reply))
+
+    override fun revokeLease(lease: Long, reply: StoreReply<Unit>) = store.revokeLease(lease, reporting(reply))
+
+    private fun <T> reporting(reply: StoreReply<T>): StoreReply<T> =
+        { reply(if (onEra?.invoke(store.era) == false) StoreFailure.UNKNOWN.left() else it) }
+}
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/RequestFleet.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/RequestFleet.kt
@@ -68,7 +68,7 @@
             settings,
             ServingPorts(
                 loop = loop,
-                store = store,
+                store = EraReportingStore(store),
                 layout = StoreLayout("", "configuration", "targets/"),
                 decoder = decoder,
                 transport = targets,
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/store/PlacementElectionSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/store/PlacementElectionSpec.kt
@@ -2,6 +2,7 @@
 
 import dev.bergamotwind.api.EventRecorder
 import dev.bergamotwind.api.TargetId
+import dev.bergamotwind.serving.EraReportingStore
 import dev.bergamotwind.serving.FakeStore
 import dev.bergamotwind.serving.ManualLoop
 import dev.bergamotwind.serving.peer.EndedTerm
@@ -20,15 +21,15 @@
  */
 class PlacementElectionSpec {
     /** The connection of one VM to the store, which breaks when its process is killed. */
-    private class BreakableStore(private val store: FakeStore) : FleetStore by store {
+    private class BreakableStore(store: FakeStore) : EraReportingStore(store) {
         var isBroken = false
 
         override fun renewLease(lease: Long, reply: StoreReply<Long>) {
-            if (!isBroken) store.renewLease(lease, reply)
+            if (!isBroken) super.renewLease(lease, reply)
         }
 
         override fun write(write: StoreWrite, reply: StoreReply<Long>) {
-            if (!isBroken) store.write(write, reply)
+            if (!isBroken) super.write(write, reply)
         }
     }
 
@@ -56,6 +57,8 @@
 
             override fun onKeyRemoved(key: String) = election.onKeyRemoved(key)
 
+            override fun onKeyLost(key: String) = election.onKeyRemoved(key)
+
             override fun onSynced() = election.onSynced()
 
             override fun onStoreRecovered(outageMillis: Long) = Unit
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/store/StoreWatcherSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/store/StoreWatcherSpec.kt
@@ -1,6 +1,7 @@
 package dev.bergamotwind.serving.store
 
 import dev.bergamotwind.api.EventRecorder
+import dev.bergamotwind.serving.EraReportingStore
 import dev.bergamotwind.serving.FakeStore
 import dev.bergamotwind.serving.ManualLoop
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -17,7 +18,7 @@
  */
 class StoreWatcherSpec {
     /** A store that answers nothing while it is silent; a call made then is never answered. */
-    private class SilencedStore(private val store: FakeStore) : FleetStore by store {
+    private class SilencedStore(store: FakeStore) : EraReportingStore(store) {
         var isSilent = false
 
         /** Thrown by the next call named [failingCall]. */
@@ -33,17 +34,17 @@
 
         override fun readRange(prefix: String, after: String?, reply: StoreReply<StorePage>) {
             failOnce("read")
-            store.readRange(prefix, after, reply)
+            super.readRange(prefix, after, reply)
         }
 
         override fun renewLease(lease: Long, reply: StoreReply<Long>) {
             failOnce("renew")
-            store.renewLease(lease, reply)
+            super.renewLease(lease, reply)
         }
 
         override fun watch(prefix: String, after: Long, waitMillis: Long, reply: StoreReply<StoreChanges>): () -> Unit {
             failOnce("watch")
-            return if (isSilent) ({}) else store.watch(prefix, after, waitMillis) { if (!isSilent) reply(it) }
+            return if (isSilent) ({}) else super.watch(prefix, after, waitMillis) { if (!isSilent) reply(it) }
         }
     }
 
@@ -65,6 +66,8 @@
 
             override fun onKeyRemoved(key: String) = onStep("removed", key)
 
+            override fun onKeyLost(key: String) = onStep("lost", key)
+
             override fun onSynced() {
                 syncs++
                 onStep("synced", "")
@@ -80,6 +83,10 @@
             it.onRenewed = watcher::recordContact
             it.onRecovered = watcher::onStoreAnswersAgain
         }
+        val eras = StoreEraTracker(EventRecorder.None).also {
+            silencedStore.onEra = it::accept
+            it.addListener(watcher::onNewEra)
+        }
     }
 
     @Test
@@ -191,6 +198,48 @@
         assertEquals(listOf("key-17"), removed)
     }
 
+    data class ReturnCase(val writesAfter: Int, val pauseMillis: Long, val isSilent: Boolean)
+
+    // Guards against a watch that goes on from a revision which the store has given out again.
+    @ParameterizedTest
+    @MethodSource("returns")
+    fun `what is written after the store has returned from an older copy is seen`(case: ReturnCase) {
+        val fixture = Fixture(case.pauseMillis)
+        val steps = mutableListOf<Pair<String, String>>()
+        fixture.store.nameEra()
+        fixture.store.put("config", "1".toByteArray())
+        fixture.store.put("kept", "kept".toByteArray())
+        fixture.watcher.start()
+        fixture.lease.start()
+        fixture.loop.advance(1_000)
+        val copy = fixture.store.copy()
+        repeat(10) { fixture.store.put("lost-$it", "lost-$it".toByteArray()) }
+        fixture.store.remove("kept")
+        fixture.loop.advance(2_000)
+        fixture.onStep = { step, what -> steps += step to what }
+        fixture.silencedStore.isSilent = case.isSilent
+        fixture.store.restore(copy)
+        repeat(case.writesAfter) { fixture.store.put("other-$it", "other-$it".toByteArray()) }
+        fixture.store.put("config", "2".toByteArray())
+        fixture.silencedStore.isSilent = false
+        fixture.loop.advance(2_500)
+        assertTrue("written" to "2" in steps) { "$steps" }
+        assertTrue("written" to "kept" in steps)
+        assertEquals(
+            (0 until 10).map {
+                "lost" to "lost-$it"
+            },
+            steps.filter { it.first == "lost" }.sortedBy { it.second },
+        )
+        assertEquals(emptyList<Any>(), steps.filter { it.first == "removed" })
+        val calls = fixture.store.calls
+        fixture.loop.advance(10_000)
+        assertTrue(fixture.store.calls - calls < 30) { "${fixture.store.calls - calls} calls in 10 s" }
+        fixture.store.put("config", "3".toByteArray())
+        fixture.loop.advance(case.pauseMillis + 50)
+        assertTrue("written" to "3" in steps)
+    }
+
     @Test
     fun `a configuration written after a silent outage of the store is seen although the watch was lost`() {
         val fixture = Fixture(pauseMillis = 0)
@@ -213,6 +262,11 @@
     }
 
     companion object {
+        @JvmStatic
+        fun returns() = listOf(0, 5, 11, 40, 400).flatMap { writes ->
+            listOf(ReturnCase(writes, 0, false), ReturnCase(writes, 400, false), ReturnCase(writes, 400, true))
+        }
+
         @JvmStatic
         fun failedSteps(): List<FailedStepCase> = listOf("written", "removed", "synced", "recovered").flatMap { step ->
             listOf(IllegalStateException(), StackOverflowError(), OutOfMemoryError()).map { FailedStepCase(step, it) }
