Acquire another lease when the store has returned from an older copy

A VM would believe itself registered and not be: its peers would count it as gone and share rates and retries without it. Cause: a lease is renewed by its id, and the store may have given an id of the lost seconds to another client. Class of fault: an id of an earlier copy, taken for the same one of the present. Change: with a new era the VM gives up its lease, whatever it is, and registers under another one. Timers of the earlier lease end with it, so that renewals do not double. It costs one call and one write a VM and return.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -133,6 +133,7 @@
             field("first_start", settings.isFirstStart)
         }
         ports.store.onEra = eras::accept
+        eras.addListener(lease::onNewEra)
         eras.addListener(storeWatcher::onNewEra)
         targets.onChange = ::scheduleWakeUp
         targets.onEnded = context.crashes::onEnded
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/VmLease.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/VmLease.kt
@@ -48,6 +48,19 @@
     public val isValid: Boolean
         get() = lease?.let { (ageMillis ?: 0) < it.timeToLiveMillis - LEASE_MARGIN_MILLIS } ?: false
 
+    /**
+     * Gives up the lease and acquires another one, because the store has returned from an older copy: it may not know
+     * the id, or may have given it to another client.
+     */
+    public fun onNewEra() {
+        // Without a lease one is being acquired; an answer of the earlier era to that call is not used.
+        val outdated = lease ?: return
+        lease = null
+        recorder.event("lease.outdated") { field("lease", outdated.id) }
+        start()
+        guard.runIsolated("expired lease") { onExpired?.invoke() }
+    }
+
     /** Acquires the lease and keeps renewing it. */
     public fun start(): Unit = orRetry(::acquire)
 
@@ -102,7 +115,7 @@
             acquire()
             guard.runIsolated("expired lease") { onExpired?.invoke() }
         } else {
-            scheduleRetry(::renew)
+            scheduleRetry(ofHeldLease(::renew))
         }
     }
 
@@ -115,7 +128,14 @@
     }
 
     private fun scheduleRenewal() {
-        loop.schedule(timeToLiveMillis / RENEWALS_PER_LEASE) { orRetry(::renew) }
+        val action = ofHeldLease(::renew)
+        loop.schedule(timeToLiveMillis / RENEWALS_PER_LEASE) { orRetry(action) }
+    }
+
+    /** Returns [action] for the lease that is held now: it does nothing when another one is held by then. */
+    private fun ofHeldLease(action: () -> Unit): () -> Unit {
+        val held = lease
+        return { if (lease === held) action() }
     }
 
     private fun scheduleRetry(action: () -> Unit) {
