Let terms grow over the eras of the store, and wait where the last holder may have been lost

Cause: the term is the creation revision of the holder's item, which the store gives out again; and the item of the last holder, by which a VM knows whether and how long it has to wait, may be an older one after the return. Class of fault: a number of an earlier copy, compared with one of the present. Change: a term is the era and then the revision. The items name the era in which the term was claimed (HolderClaim); one of an earlier era tells nothing about who came after it, so its successor waits for the lease and the hand-over time. With a new era every term ends; a holder goes on at once only if its term was in force until it heard of the era and the store still knows its claim. Announcements of ended terms count only within their era. Measured: OrderHandOverSpec has five more kinds, with returns from copies of up to 9 s; 15 kinds pass. The lease in the wait is not shown to be needed by a test. PlacementElectionSpec passes. A build of before is older in term: a return to it is refused by engines until they restart.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -69,10 +69,16 @@
         ports.store,
         loop,
         lease,
-        ElectionSettings("${settings.vm}@${settings.host}", settings.handOverMillis, settings.isFirstStart),
+        ElectionSettings(
+            "${settings.vm}@${settings.host}",
+            settings.handOverMillis,
+            settings.leaseMillis,
+            settings.isFirstStart,
+        ),
         { peers.countStartedAfter(incarnation) },
         random,
         recorder,
+        eras,
     )
     private val distance = RoundTripEstimates(settings.failureDomain, settings.regions)
     private val peers = Peers(loop, settings.vm, ports.peers, distance::isSameRegion, HeartbeatHandler())
@@ -133,6 +139,8 @@
             field("first_start", settings.isFirstStart)
         }
         ports.store.onEra = eras::accept
+        // The election first: whether its term was in force depends on the lease.
+        eras.addListener(election::onNewEra)
         eras.addListener(lease::onNewEra)
         eras.addListener(storeWatcher::onNewEra)
         targets.onChange = ::scheduleWakeUp
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/ElectionSettings.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/ElectionSettings.kt
@@ -6,6 +6,8 @@
     public val identity: String,
     /** Milliseconds between the last order of one holder and the first of the next. */
     public val handOverMillis: Long,
+    /** Milliseconds for which a lease is valid after its last renewal. */
+    public val leaseMillis: Long,
     /** True when no VM has been the holder before this VM was started, though another one may be by now. */
     public val isFirstStart: Boolean,
 )
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementElection.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementElection.kt
@@ -6,6 +6,7 @@
 import dev.bergamotwind.serving.ServingLoop
 import dev.bergamotwind.serving.peer.EndedTerm
 import dev.bergamotwind.serving.store.FleetStore
+import dev.bergamotwind.serving.store.StoreEraTracker
 import dev.bergamotwind.serving.store.StoreItem
 import dev.bergamotwind.serving.store.StorePut
 import dev.bergamotwind.serving.store.StoreWrite
@@ -14,7 +15,7 @@
 
 /**
  * Elects the VM that sends orders to engines: the placement holder, whose lease is attached to the holder item in the
- * store. The creation revision of that item is the term. A new holder waits for the hand-over time, in which orders of
+ * store. The creation revision of that item, in the era of the store, is the term. A new holder waits for the hand-over time, in which orders of
  * its predecessor may still arrive, unless the predecessor has announced the end of its term; then it waits only for
  * the engines that had an order shortly before. A second item without a lease names the last holder: a VM that was the
  * holder before its restart skips that wait, and need not wait for its earlier lease to expire either; when it ends
@@ -30,6 +31,7 @@
     private val countLaterStarts: () -> Int,
     private val random: Random,
     private val recorder: EventRecorder,
+    private val eras: StoreEraTracker = StoreEraTracker(recorder),
 ) {
     private val startedMillis = loop.nowMillis()
     private var holder: StoreItem? = null
@@ -56,6 +58,12 @@
     /** True when this VM was the last holder, as known at the latest attempt. */
     private var continuesOwnTerm = false
 
+    /** Claim id of the term that this VM held until it heard of the latest era, or null. */
+    private var continuedClaimId: Long? = null
+
+    /** True when the store has not lost who was the last holder, as known at the latest attempt. */
+    private var isPredecessorKnown = true
+
     /** True when no VM has ever been the holder, as known at the latest attempt. */
     private var hasNoPredecessor = false
 
@@ -104,7 +112,7 @@
      * holder.
      */
     internal val needsImmediateChanges: Boolean
-        get() = holder == null || isHolder || announcedEnd?.let { it.claimId == holder?.claimId } ?: false
+        get() = holder == null || isHolder || announcedEnd?.let { it.claimId == holder?.claim?.id } ?: false
 
     /**
      * Ends the term for good when its lease can no longer be relied on, and returns true when it did. The other VMs are
@@ -120,6 +128,21 @@
         return false
     }
 
+    /**
+     * Ends the term, because the store has returned from an older copy: it may name an earlier holder now, or none. A
+     * holder goes on at once only if its term was in force until now and the store still knows it.
+     */
+    internal fun onNewEra() {
+        continuedClaimId = holder?.claim?.id.takeIf { term != null }
+        if (continuedClaimId != null) onTermEnded?.invoke()
+        holder = null
+        lastHolder = null
+        holderTerm = 0
+        isHolderKnown = false
+        predecessorClaimId = null
+        announcedEnd = null
+    }
+
     /** Takes note of another VM's announcement that it has ended its term. */
     internal fun onTermEndAnnounced(end: EndedTerm) {
         announcedEnd = end
@@ -129,7 +152,7 @@
 
     private fun endTerm() {
         endedTerm = holderTerm
-        endedClaimId = holder?.claimId
+        endedClaimId = holder?.claim?.id
         endedMillis = loop.nowMillis()
         onTermEnded?.invoke()
         recorder.event("placement.term-ended") {
@@ -172,8 +195,9 @@
         isHolderKnown = true
         val known = holder
         holder = item
-        if (known?.lease == item.lease && holderTerm == item.createRevision) return
-        holderTerm = item.createRevision
+        val newTerm = eras.current.term(item.createRevision)
+        if (known?.lease == item.lease && holderTerm == newTerm) return
+        holderTerm = newTerm
         if (isHolder) {
             val wait = firstOrderWaitMillis()
             firstOrderMillis = loop.nowMillis() + wait
@@ -199,12 +223,15 @@
         // A wait that was running in the earlier term, for all engines or for single ones, continues.
         continuesOwnTerm && hasHeldTerm -> (firstOrderMillis - loop.nowMillis()).coerceAtLeast(0)
 
-        continuesOwnTerm && lastHolder?.isWaiting != true -> 0
+        continuesOwnTerm && lastHolder?.claim?.isWaiting != true -> 0
 
         // A VM that reaches the store late at its first start succeeds a holder like any other.
-        settings.isFirstStart && hasNoPredecessor && !hasSeenHolder -> 0
+        settings.isFirstStart && hasNoPredecessor && !hasSeenHolder && !eras.hasChanged -> 0
 
-        else -> settings.handOverMillis
+        isPredecessorKnown -> settings.handOverMillis
+
+        // A holder that has not heard of the new era gives orders until its lease has ended.
+        else -> settings.leaseMillis + settings.handOverMillis
     }
 
     /** Time at which this VM may send orders to all engines. */
@@ -216,8 +243,8 @@
         loop.schedule(delay) {
             val held = holder
             val last = lastHolder
-            val isCurrent = term == heldTerm && held != null && last != null && last.claimId == held.claimId
-            if (!isCurrent || !last.isWaiting) return@schedule
+            val isCurrent = term == heldTerm && held != null && last != null && last.claim.id == held.claim.id
+            if (!isCurrent || !last.claim.isWaiting) return@schedule
             if (loop.nowMillis() < waitEndMillis) return@schedule scheduleWaitingMarkRemoval(heldTerm)
             val expected = mapOf(HOLDER_KEY to held.revision, LAST_HOLDER_KEY to last.revision)
             store.write(StoreWrite(expected, listOf(StorePut(LAST_HOLDER_KEY, held.value, lease = 0)))) { result ->
@@ -246,18 +273,9 @@
         loop.schedule(wait + rank * step + random.nextLong(step), ::tryBecomeHolder)
     }
 
-    /** Random id that both items of one holder carry, and no other holder's. */
-    private val StoreItem.claimId: Long? get() = value.decodeToString().substringAfterLast(
-        CLAIM_SEPARATOR,
-    ).toLongOrNull()
-
-    private val StoreItem.isFromThisVm: Boolean
-        get() = value.decodeToString().substringBeforeLast(CLAIM_SEPARATOR).removeSuffix(WAITING_MARK) ==
-            settings.identity
+    private val StoreItem.claim: HolderClaim get() = HolderClaim.decode(value)
 
-    /** True when the VM of this last holder's item still had to wait for its predecessor when it wrote the item. */
-    private val StoreItem.isWaiting: Boolean
-        get() = value.decodeToString().substringBeforeLast(CLAIM_SEPARATOR).endsWith(WAITING_MARK)
+    private val StoreItem.isFromThisVm: Boolean get() = claim.identity == settings.identity
 
     /** Called when all items have been read once. */
     public fun onSynced() {
@@ -280,15 +298,18 @@
         isAttemptPending = true
         // The condition on the last holder's item ensures that nobody else was the holder in between.
         val expected = mapOf(HOLDER_KEY to (holder?.revision ?: 0L), LAST_HOLDER_KEY to (lastHolder?.revision ?: 0L))
-        continuesOwnTerm = lastHolder?.isFromThisVm == true
-        hasNoPredecessor = lastHolder == null
-        predecessorClaimId = lastHolder?.claimId
-        val claim = "$CLAIM_SEPARATOR${random.nextLong()}"
+        val last = lastHolder?.claim
+        // Later holders than the one that a copy names may have been lost.
+        val isOfThisEra = last?.era == eras.current
+        isPredecessorKnown = isOfThisEra || (last == null && !eras.hasChanged)
+        continuesOwnTerm = last?.identity == settings.identity && (isOfThisEra || last.id == continuedClaimId)
+        hasNoPredecessor = last == null
+        predecessorClaimId = last?.id.takeIf { isOfThisEra }
+        val claim = HolderClaim(settings.identity, random.nextLong(), eras.current)
         val mustWait = firstOrderWaitMillis() > 0 || (continuesOwnTerm && waitEndMillis > loop.nowMillis())
-        val lastHolderName = settings.identity + (if (mustWait) WAITING_MARK else "") + claim
         val puts = listOf(
-            StorePut(HOLDER_KEY, (settings.identity + claim).toByteArray(), held),
-            StorePut(LAST_HOLDER_KEY, lastHolderName.toByteArray(), lease = 0),
+            StorePut(HOLDER_KEY, claim.encode(), held),
+            StorePut(LAST_HOLDER_KEY, claim.copy(isWaiting = mustWait).encode(), lease = 0),
         )
         // Whatever the answer, the watch shows who is the holder; another attempt is needed only when there is none.
         store.write(StoreWrite(expected, puts)) { retryLater() }
@@ -308,8 +329,6 @@
     public companion object {
         /** Prefix of the keys of the election's items. */
         public const val KEY_PREFIX: String = "bergamotwind/placement/"
-        private const val CLAIM_SEPARATOR = '#'
-        private const val WAITING_MARK = "/waiting"
         internal const val HOLDER_KEY: String = KEY_PREFIX + "holder"
         internal const val LAST_HOLDER_KEY: String = KEY_PREFIX + "last-holder"
     }
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Fakes.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/Fakes.kt
@@ -227,8 +227,9 @@
     override fun watch(prefix: String, after: Long, waitMillis: Long, reply: StoreReply<StoreChanges>): () -> Unit {
         calls++
         val watch = Watch(prefix, after, reply)
+        val failing = failure
         when {
-            failure != null -> loop.schedule(1) { reply(failure!!.left()) }
+            failing != null -> loop.schedule(1) { reply(failing.left()) }
 
             after < compactedUntil || after > revision -> loop.schedule(1) { reply(StoreFailure.HISTORY_GONE.left()) }
 
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/OrderFleet.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/OrderFleet.kt
@@ -159,12 +159,19 @@
                 process.run {
                     if (!isAnswered) {
                         isAnswered = true
-                        reply(result)
+                        reply(if (onEra?.invoke(store.era) == false) StoreFailure.UNKNOWN.left() else result)
                     }
                 }
             }
             if (!process.machine.isCutFromStore) call { if (!process.machine.isCutFromStore) answer(it) }
-            loop.schedule(timeoutMillis) { answer(StoreFailure.UNKNOWN.left()) }
+            loop.schedule(timeoutMillis) {
+                process.run {
+                    if (!isAnswered) {
+                        isAnswered = true
+                        reply(StoreFailure.UNKNOWN.left())
+                    }
+                }
+            }
         }
 
         override fun readRange(prefix: String, after: String?, reply: StoreReply<StorePage>) =
@@ -254,6 +261,7 @@
 
     /** Starts the store's contents and all VMs, the first of them cut off from the store for [cutMillis]. */
     fun start(cutMillis: Long) {
+        store.nameEra()
         store.put("configuration", ByteArray(1))
         engines.keys.forEach { store.put("targets/$it", it.toByteArray()) }
         if (cutMillis > 0) cutFromStore(0, cutMillis)
@@ -294,6 +302,16 @@
         loop.schedule(millis) { machines[number].isCutFromStore = false }
     }
 
+    /** The store is away for [awayMillis] and returns from a copy that is [copyMillis] old by then. */
+    fun restoreStore(copyMillis: Long, awayMillis: Long) {
+        val copy = store.copy()
+        loop.schedule((copyMillis - awayMillis).coerceAtLeast(0)) { store.failure = StoreFailure.UNKNOWN }
+        loop.schedule(copyMillis) {
+            store.failure = null
+            store.restore(copy)
+        }
+    }
+
     /** Cuts VM [number] off from the other VMs, which then do not hear its announcements. */
     fun cutFromVms(number: Int, millis: Long) {
         machines[number].isCutFromVms = true
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/OrderHandOverSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/OrderHandOverSpec.kt
@@ -65,6 +65,9 @@
         private val cutFromEngines: OrderFleet.(Random) -> Unit =
             { cutFromEngines(holderOr(it), it.nextLong(100, 4_000)) }
 
+        private val restored: OrderFleet.(Random) -> Unit =
+            { restoreStore(copyMillis = it.nextLong(1, 9_000), awayMillis = it.nextLong(0, 2_500)) }
+
         private fun anyOf(vararg events: OrderFleet.(Random) -> Unit): OrderFleet.(Random) -> Unit =
             { random -> events.random(random)(random) }
 
@@ -95,6 +98,27 @@
                 stopped(random)
             }),
             HandOverCase("a VM first reaches the store late, and holders are stopped", 2_500, disturb = stopped),
+            HandOverCase("the store returns from an older copy", disturb = restored),
+            HandOverCase("the holder is stopped, and the store returns from an older copy", disturb = { random ->
+                restored(random)
+                stopped(random)
+            }),
+            HandOverCase("the holder is killed, and the store returns from an older copy", disturb = { random ->
+                restored(random)
+                killed(random)
+            }),
+            HandOverCase("VMs are cut off, and the store returns from an older copy", disturb = { random ->
+                restored(random)
+                anyOf(frozen, cutFromStore, cutFromVms, cutFromEngines)(random)
+                loop.advance(random.nextLong(0, 3_000))
+                anyOf(frozen, cutFromStore, cutFromVms, stopped)(random)
+            }),
+            HandOverCase("anything comes, and the store returns again and again", 1_500, disturb = { random ->
+                repeat(random.nextInt(1, 4)) {
+                    anyOf(killed, stopped, frozen, cutFromStore, cutFromVms, cutFromEngines, restored, restored)(random)
+                    loop.advance(random.nextLong(0, 1_000))
+                }
+            }),
             HandOverCase("anything of that comes, also together", 1_500, disturb = { random ->
                 repeat(random.nextInt(1, 4)) {
                     anyOf(killed, stopped, frozen, cutFromStore, cutFromVms, cutFromEngines)(random)
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/store/PlacementElectionSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/store/PlacementElectionSpec.kt
@@ -47,7 +47,7 @@
             breakableStore,
             loop,
             lease,
-            ElectionSettings(name, HAND_OVER_MILLIS, isFirstStart),
+            ElectionSettings(name, HAND_OVER_MILLIS, LEASE_MILLIS, isFirstStart),
             { laterStarts },
             random,
             EventRecorder.None,
