Keep refused prompt parts whose items the store has lost

Engines would crash again on a part that had been refused. Cause: an item that is missing after the store has returned from an older copy looked like one that an operator has deleted, which releases the part. Class of fault: what was written in the lost seconds, taken for removed. Change: a lost item releases nothing; the placement holder writes it again, as it does with any part that the store lacks.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -385,7 +385,7 @@
                 key.startsWith(ports.layout.targetsPrefix) -> targetListener.onKeyLost(key)
                 key.startsWith(PlacementElection.KEY_PREFIX) -> election.onKeyRemoved(key)
                 key.startsWith(MEMBER_KEY_PREFIX) -> peers.onDeregistered(VmId(key.removePrefix(MEMBER_KEY_PREFIX)))
-                key.startsWith(StoredPromptParts.KEY_PREFIX) -> storedPromptParts.onKeyRemoved(key)
+                key.startsWith(StoredPromptParts.KEY_PREFIX) -> storedPromptParts.onKeyLost(key)
             }
         }
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/StoredPromptParts.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/StoredPromptParts.kt
@@ -48,6 +48,11 @@
         if (storedParts.remove(part) != null) quarantine.release(part)
     }
 
+    /** Handles an item that the store has lost: the part stays refused, and the placement holder writes it again. */
+    fun onKeyLost(key: String) {
+        PromptPartId.parse(key.removePrefix(KEY_PREFIX))?.let(storedParts::remove)
+    }
+
     override fun claim(report: PromptPartReport, reply: (Boolean) -> Unit) {
         val key = KEY_PREFIX + report.part
         val condition = mapOf(key to (storedParts[report.part]?.revision ?: 0))
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/EngineFleet.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/EngineFleet.kt
@@ -45,7 +45,7 @@
             Samples.settings(name).copy(peerPort = FIRST_PEER_PORT + number),
             ServingPorts(
                 loop = this,
-                store = store,
+                store = EraReportingStore(store),
                 layout = StoreLayout("", "configuration", "targets/"),
                 decoder = Decoder(),
                 transport = { target, request, listener -> send(name, target, request, listener) },
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/TaintedPromptPartSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/TaintedPromptPartSpec.kt
@@ -98,6 +98,26 @@
         assertEquals(crashesBefore, fleet.crashes.size)
     }
 
+    // Guards against a part that counts as released because the store has returned from a copy without its item.
+    @Test
+    fun `a refused part whose item the store has lost stays refused, and is written again`() {
+        val fleet = EngineFleet(vmCount = 3, engineCount = 12)
+        fleet.store.nameEra()
+        fleet.deadlyParts += DEADLY
+        val load = Load(fleet)
+        load.run(seconds = 3)
+        val crashesBefore = fleet.crashes.size
+        val item = "bergamotwind/prompt-part/$DEADLY"
+        assertTrue(item in fleet.store.items)
+        val now = fleet.store.copy()
+        fleet.store.restore(FakeStore.Copy(now.items - item, now.revision - 1, now.leases, now.lastLeaseId))
+        load.run(seconds = 3)
+        assertEquals(crashesBefore, fleet.crashes.size)
+        assertEquals(0, fleet.events["prompt-part.released"].orEmpty().count { it["part"] == "$DEADLY" })
+        fleet.loop.advance(4_000)
+        assertTrue(item in fleet.store.items)
+    }
+
     // Guards against a part that is refused for good although it has become harmless.
     @Test
     fun `a part that harms no more is tried by one VM and then served everywhere`() {
