Do not use a leaving target again because of an older entry

Requests would reach a target whose leaving the VM knew of (DRAIN), until the target wrote its entry again. Cause: the latest entry counted, and the store may return from a copy in which the target is still ready. Class of fault: an older value, taken for a newer one. Change: an entry that says draining is the target's own word like an answer, and only another start of the target ends it. Measured: LeavingTargetSpec, 29 cases pass; with the entry's state read as before 2 of the 4 new ones fail on a scratch copy. All tests of the serving module pass.

--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetAvailability.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetAvailability.kt
@@ -4,7 +4,7 @@
 
 /** What one incarnation of a target has stated about taking work from this VM. Used on the serving loop. */
 internal class TargetAvailability {
-    /** True once the target has said that it is leaving; only another start of the target takes that back. */
+    /** True once the target has said that it is leaving, to anyone; only another start of it takes that back. */
     var isLeaving = false
         private set
 
@@ -17,7 +17,7 @@
 
     /** Applies a statement in an answer to a request that was sent at [sentMillis]. */
     fun apply(statement: TargetStatement, sentMillis: Long, nowMillis: Long) {
-        if (statement.isLeaving) isLeaving = true
+        if (statement.isLeaving) recordLeaving()
         val end = restEndMillis
         val rest = statement.restMillis
         when {
@@ -31,6 +31,11 @@
         }
     }
 
+    /** Records that the target has said that it is leaving. */
+    fun recordLeaving() {
+        isLeaving = true
+    }
+
     /** Records that a request is sent to the target. */
     fun recordSent(nowMillis: Long) {
         lastSentMillis = nowMillis
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetState.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetState.kt
@@ -38,16 +38,21 @@
     /** Loaded models, each with its adapters. */
     public val models: Map<ModelId, Set<AdapterId>> get() = loadedModels
 
-    /** False when the target is leaving, by its entry in the store or by its own answers. */
-    internal val acceptsWork: Boolean get() = record.lifecycle == TargetLifecycle.READY && !availability.isLeaving
+    /** False when the target is leaving, as its entry in the store or one of its answers has said once. */
+    internal val acceptsWork: Boolean get() = !availability.isLeaving
 
     /** True while the target is still slow after its start. */
     internal fun isCold(nowMillis: Long): Boolean = nowMillis < coldUntilMillis
 
+    init {
+        recordLifecycle()
+    }
+
     /** Applies a newer record of the same incarnation. */
     internal fun update(newer: TargetRecord, nowMillis: Long) {
         val hasChanged = newer.models != record.models
         record = newer
+        recordLifecycle()
         // Announcements of the placement holder are newer than a record, which follows with the next heartbeat.
         if (hasChanged && nowMillis - announcedMillis > ANNOUNCEMENT_LIFETIME_MILLIS) replaceLoadedModels(newer.models)
     }
@@ -113,6 +118,11 @@
         if (attempts.isEmpty()) latencyRatio += LATENCY_RATIO_DECAY * (1 - latencyRatio)
     }
 
+    // An entry of an older copy of the store may say ready again.
+    private fun recordLifecycle() {
+        if (record.lifecycle == TargetLifecycle.DRAINING) availability.recordLeaving()
+    }
+
     private fun isMissing(model: ModelId, adapter: AdapterId?, nowMillis: Long): Boolean {
         if (missingUntil.isEmpty()) return false
         missingUntil.values.removeIf { it <= nowMillis }
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/LeavingTargetSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/LeavingTargetSpec.kt
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.MethodSource
 
 /** Guards against new work for targets that have said in an answer that they leave. */
@@ -55,6 +56,25 @@
         assertEquals(if (case.getsRequests) 2 else 1, fleet.targets.sent.size)
     }
 
+    // Guards against an older entry, in a store that has returned from a copy, that brings a leaving target back.
+    @ParameterizedTest
+    @CsvSource("0, 1, 0", "0, 2, 1", "3000, 1, 0", "3000, 2, 1")
+    fun `a target whose entry has said that it leaves is used again only when it has started again`(
+        lostMillis: Long,
+        started: Long,
+        requests: Int,
+    ) {
+        val fleet = RequestFleet(1, listOf(Samples.record("t1", started = 1)))
+        fleet.register(Samples.record("t1", lifecycle = TargetLifecycle.DRAINING, started = 1))
+        fleet.loop.advance(50)
+        if (lostMillis > 0) fleet.store.remove("targets/t1")
+        fleet.loop.advance(lostMillis)
+        fleet.register(Samples.record("t1", started = started))
+        fleet.loop.advance(50)
+        fleet.serve()
+        assertEquals(requests, fleet.targets.sent.size)
+    }
+
     // Guards against a second attempt that falls back on a target which has said that it leaves.
     @Test
     fun `a retry does not go to a leaving target`() {
