--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallProgress.kt
@@ -95,7 +95,7 @@
         return context.picker.pick(targetCriteria(current, call.modelRequest, excluded)) != null
     }
 
-    /** Milliseconds until the first of the targets that serve [call] has rested; null when one has not asked for rest. */
+    /** Milliseconds until the first of the targets that serve [call] has rested, or null when one does not rest. */
     fun millisUntilRested(call: Call): Long? =
         service?.let { context.picker.millisUntilRested(targetCriteria(it, call.modelRequest, excludedTargets)) }
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/OrderTransport.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/OrderTransport.kt
@@ -6,8 +6,8 @@
 /** Sends orders to engines. Replies arrive on the serving loop, exactly once. */
 public interface OrderTransport {
     /**
-     * Called when the head of an answer has arrived, with the target, what it states about itself there, and the time in
-     * milliseconds at which the order or the request for a report was sent.
+     * Called when the head of an answer has arrived, with the target, what it states about itself there, and the time
+     * in milliseconds at which the order or the request for a report was sent.
      */
     public var onStatement: ((TargetRecord, TargetStatement, sentMillis: Long) -> Unit)?
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementElection.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/placement/PlacementElection.kt
@@ -15,12 +15,13 @@
 
 /**
  * Elects the VM that sends orders to engines: the placement holder, whose lease is attached to the holder item in the
- * store. The creation revision of that item, in the era of the store, is the term. A new holder waits for the hand-over time, in which orders of
- * its predecessor may still arrive, unless the predecessor has announced the end of its term; then it waits only for
- * the engines that had an order shortly before. A second item without a lease names the last holder: a VM that was the
- * holder before its restart skips that wait, and need not wait for its earlier lease to expire either; when it ends
- * the term, it announces that its earlier process may have given orders up to the restart. That item also tells whether
- * the last holder was still waiting itself; its next process then waits from the beginning. Used on the serving loop.
+ * store. The creation revision of that item, in the era of the store, is the term. A new holder waits for the
+ * hand-over time, in which orders of its predecessor may still arrive, unless the predecessor has announced the end of
+ * its term; then it waits only for the engines that had an order shortly before. A second item without a lease names
+ * the last holder: a VM that was the holder before its restart skips that wait, and need not wait for its earlier
+ * lease to expire either; when it ends the term, it announces that its earlier process may have given orders up to the
+ * restart. That item also tells whether the last holder was still waiting itself; its next process then waits from the
+ * beginning. Used on the serving loop.
  */
 public class PlacementElection(
     private val store: FleetStore,
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/StoreEra.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/StoreEra.kt
@@ -11,8 +11,8 @@
     override fun toString(): String = number.toString()
 
     /**
-     * Returns the term of a holder whose item was created at [revision] of this era. Terms grow with the revisions of an
-     * era, and are higher in a later era than in an earlier one.
+     * Returns the term of a holder whose item was created at [revision] of this era. Terms grow with the revisions of
+     * an era, and are higher in a later era than in an earlier one.
      */
     public fun term(revision: Long): Long = (number shl REVISION_BITS) + revision
 
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/StoreWatcher.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/store/StoreWatcher.kt
@@ -126,7 +126,7 @@
         val removedKeys = knownKeys.filter { it !in progress.presentKeys }
         knownKeys -= removedKeys.toSet()
         revision = from
-        removedKeys.forEach(if (isReadingNewEra) ::notifyLost else ::notifyRemoved)
+        removedKeys.forEach(::notifyRemoved)
         isReadingNewEra = false
         guard.runIsolated("caught up", listener::onSynced)
         scheduleWatch()
@@ -198,9 +198,9 @@
     // An item that cannot be handled must not keep the VM from handling later changes, nor end the watch.
     private fun notifyWritten(item: StoreItem) = guard.runIsolated("item ${item.key}") { listener.onItemWritten(item) }
 
-    private fun notifyRemoved(key: String) = guard.runIsolated("removal of $key") { listener.onKeyRemoved(key) }
-
-    private fun notifyLost(key: String) = guard.runIsolated("loss of $key") { listener.onKeyLost(key) }
+    private fun notifyRemoved(key: String) = guard.runIsolated("removal of $key") {
+        if (isReadingNewEra) listener.onKeyLost(key) else listener.onKeyRemoved(key)
+    }
 
     private fun notifyRecovered() {
         val outageMillis = lastContactMillis?.let { loop.nowMillis() - it } ?: 0
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetAvailability.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetAvailability.kt
@@ -58,7 +58,7 @@
     fun isResting(nowMillis: Long): Boolean = restEndMillis.let { it != null && nowMillis < it }
 
     private companion object {
-        /** A target that turns requests away does so at once; one that works on the trial may take as long as it needs. */
+        /** A target that turns requests away does so at once; one that works on the trial may take longer. */
         const val TRIAL_MILLIS = SHORT_RETRY_AFTER_MILLIS
     }
 }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetPicker.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetPicker.kt
@@ -54,8 +54,8 @@
     }
 
     /**
-     * Milliseconds until the first of the targets that serve the request has rested as it has asked, or null when one of
-     * them has not asked for rest. Targets that have failed the request count as well: its caller may come back.
+     * Milliseconds until the first of the targets that serve the request has rested as it has asked, or null when one
+     * of them has not asked for rest. Targets that have failed the request count as well: its caller may come back.
      */
     fun millisUntilRested(criteria: TargetCriteria): Long? {
         val now = loop.nowMillis()
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetStatement.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/targets/TargetStatement.kt
@@ -4,7 +4,7 @@
 public data class TargetStatement(
     /** True when the target is leaving and takes no new work. */
     val isLeaving: Boolean = false,
-    /** Milliseconds for which the target, which has turned this VM away, takes nothing from it; null if none is named. */
+    /** Milliseconds for which the target, which has turned this VM away, takes nothing from it, or null. */
     val restMillis: Long? = null,
 ) {
     /** True when the statement restricts what may be sent to the target. */
