--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallHandler.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallHandler.kt
@@ -250,18 +250,10 @@
         events.recordFailedAttempt(attempt, reason)
         if (!attempt.mayRetryTarget) progress.excludedTargets += attempt.target.record.id
         val restMillis = progress.millisUntilRested(call)
-        when {
-            restMillis != null -> refuse(progress.restRefusal(attempt.target.record.service, restMillis))
-
-            // Attempts that reached no target do not count against the retry budget.
-            progress.maySendAgain && (
-                !reachedTarget || context.tryTakeRetry(
-                    attempt.target.record.service,
-                )
-                ) -> dispatch()
-
-            else -> refuse(Refusal(RefusalKind.OVERLOADED, reason, SHORT_RETRY_AFTER_MILLIS))
-        }
+        if (restMillis != null) return refuse(progress.restRefusal(attempt.target.record.service, restMillis))
+        // Attempts that reached no target do not count against the retry budget.
+        val again = progress.maySendAgain && (!reachedTarget || context.tryTakeRetry(attempt.target.record.service))
+        if (again) dispatch() else refuse(Refusal(RefusalKind.OVERLOADED, reason, SHORT_RETRY_AFTER_MILLIS))
     }
 
     override fun onAnswered(attempt: CallAttempt, status: Int) {
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/EngineCrashDetector.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/crash/EngineCrashDetector.kt
@@ -26,9 +26,8 @@
         val attempts = broken.getOrPut(target) { mutableListOf() }
         attempts += attempt
         // The store tells of the end of an engine only seconds later, and few requests are sent to it until then.
-        if (attempts.size == 1 &&
-            !target.availability.isResting(loop.nowMillis())
-        ) {
+        val mayProbe = !target.availability.isResting(loop.nowMillis())
+        if (attempts.size == 1 && mayProbe) {
             probe(target) { isRunning -> if (!isRunning) onEnded(target) }
         }
     }
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/LeavingTargetSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/LeavingTargetSpec.kt
@@ -1,6 +1,5 @@
 package dev.bergamotwind.serving
 
-import dev.bergamotwind.api.ServiceId
 import dev.bergamotwind.serving.call.ResponseHead
 import dev.bergamotwind.serving.catalogue.RouteKind
 import dev.bergamotwind.serving.targets.TargetLifecycle
@@ -14,20 +13,10 @@
 
 /** Guards against new work for targets that have said in an answer that they leave. */
 class LeavingTargetSpec {
-    data class EvidenceCase(
-        val name: String,
-        val isBelieved: Boolean,
-        val kind: RouteKind = RouteKind.NON_IDEMPOTENT,
-        val service: ServiceId = Samples.plain,
-        val answer: (RequestFleet) -> Unit,
-    ) {
-        override fun toString() = name
-    }
-
     // Guards against a statement that is overlooked in some kind of answer, and one that is not the target's own.
     @ParameterizedTest
     @MethodSource("evidences")
-    fun `a target that says in any answer of its own that it leaves gets no more requests`(case: EvidenceCase) {
+    fun `a target that says in any answer of its own that it leaves gets no more requests`(case: AnswerCase) {
         val models = mapOf("m1" to emptySet<String>())
         val fleet = RequestFleet(1, listOf(Samples.record("t1", case.service, models)), case.kind, case.service)
         val work = Samples.work().takeIf { case.service == Samples.engines }
@@ -189,32 +178,32 @@
 
         @JvmStatic
         fun evidences() = listOf(
-            EvidenceCase("a success", true) { it.targets.sent.last().answer(200, statement = LEAVING) },
-            EvidenceCase("a refusal", true) {
+            AnswerCase("a success", true) { it.targets.sent.last().answer(200, statement = LEAVING) },
+            AnswerCase("a refusal", true) {
                 it.targets.sent.last().answer(503, notRun = true, statement = LEAVING)
             },
-            EvidenceCase("an error", true) { it.targets.sent.last().answer(500, statement = LEAVING) },
-            EvidenceCase("the head of a stream", true, RouteKind.STREAMING) {
+            AnswerCase("an error", true) { it.targets.sent.last().answer(500, statement = LEAVING) },
+            AnswerCase("the head of a stream", true, RouteKind.STREAMING) {
                 it.targets.sent.last().head(200, statement = LEAVING)
             },
-            EvidenceCase("the head of an engine's stream", true, RouteKind.STREAMING, Samples.engines) {
+            AnswerCase("the head of an engine's stream", true, RouteKind.STREAMING, Samples.engines) {
                 it.targets.sent.last().head(200, statement = LEAVING)
             },
-            EvidenceCase("an engine's answer that it lacks the model", true, RouteKind.STREAMING, Samples.engines) {
+            AnswerCase("an engine's answer that it lacks the model", true, RouteKind.STREAMING, Samples.engines) {
                 it.targets.sent.last().answer(421, notRun = true, statement = LEAVING)
             },
-            EvidenceCase("an answer to an order or a call for a report", true, RouteKind.STREAMING, Samples.engines) {
+            AnswerCase("an answer to an order or a call for a report", true, RouteKind.STREAMING, Samples.engines) {
                 val record = it.targets.sent.last().target
                 it.orders.onStatement?.invoke(record, LEAVING, it.loop.nowMillis())
             },
-            EvidenceCase("an answer that does not say so", false) { it.targets.sent.last().answer(200) },
-            EvidenceCase("an answer to another request", false) {
+            AnswerCase("an answer that does not say so", false) { it.targets.sent.last().answer(200) },
+            AnswerCase("an answer to another request", false) {
                 it.targets.sent.last().head(200, isOwn = false, statement = LEAVING)
             },
-            EvidenceCase("a success without a signature", false) {
+            AnswerCase("a success without a signature", false) {
                 it.targets.sent.last().head(200, isSigned = false, statement = LEAVING)
             },
-            EvidenceCase("a refusal of another target at the address", false) {
+            AnswerCase("a refusal of another target at the address", false) {
                 val sent = it.targets.sent.last()
                 sent.listener.onHead(
                     ResponseHead(421, emptyList(), true, true, true, false, true, null, null, LEAVING),
@@ -222,7 +211,7 @@
                 sent.listener.onComplete()
                 it.loop.advance(10_100)
             },
-            EvidenceCase("an answer of an earlier start to an order", false, RouteKind.STREAMING, Samples.engines) {
+            AnswerCase("an answer of an earlier start to an order", false, RouteKind.STREAMING, Samples.engines) {
                 val record = it.targets.sent.last().target.copy(startedWallMillis = 99)
                 it.orders.onStatement?.invoke(record, LEAVING, it.loop.nowMillis())
             },
--- a/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/RestingTargetSpec.kt
+++ b/bergamotwind-serving/src/test/kotlin/dev/bergamotwind/serving/RestingTargetSpec.kt
@@ -1,6 +1,5 @@
 package dev.bergamotwind.serving
 
-import dev.bergamotwind.api.ServiceId
 import dev.bergamotwind.serving.catalogue.RouteKind
 import dev.bergamotwind.serving.targets.TargetStatement
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -12,20 +11,10 @@
 
 /** Guards against requests to targets that have named a time for which they want none. */
 class RestingTargetSpec {
-    data class EvidenceCase(
-        val name: String,
-        val isBelieved: Boolean,
-        val kind: RouteKind = RouteKind.NON_IDEMPOTENT,
-        val service: ServiceId = Samples.plain,
-        val answer: (RequestFleet) -> Unit,
-    ) {
-        override fun toString() = name
-    }
-
     // Guards against a time that is overlooked in some kind of answer, and one that is not the target's own.
     @ParameterizedTest
     @MethodSource("evidences")
-    fun `a target that names a time gets no request before its end`(case: EvidenceCase) {
+    fun `a target that names a time gets no request before its end`(case: AnswerCase) {
         val models = mapOf("m1" to emptySet<String>())
         val fleet = RequestFleet(1, listOf(Samples.record("t1", case.service, models)), case.kind, case.service)
         val work = Samples.work().takeIf { case.service == Samples.engines }
@@ -210,23 +199,23 @@
 
         @JvmStatic
         fun evidences() = listOf(
-            EvidenceCase("a refusal", true) { it.targets.sent.last().answer(503, notRun = true, statement = REST) },
-            EvidenceCase("a refusal that may have run", true) { it.targets.sent.last().answer(503, statement = REST) },
-            EvidenceCase("the refusal of a stream", true, RouteKind.STREAMING) {
+            AnswerCase("a refusal", true) { it.targets.sent.last().answer(503, notRun = true, statement = REST) },
+            AnswerCase("a refusal that may have run", true) { it.targets.sent.last().answer(503, statement = REST) },
+            AnswerCase("the refusal of a stream", true, RouteKind.STREAMING) {
                 it.targets.sent.last().answer(503, notRun = true, statement = REST)
             },
-            EvidenceCase("the refusal of an engine", true, RouteKind.STREAMING, Samples.engines) {
+            AnswerCase("the refusal of an engine", true, RouteKind.STREAMING, Samples.engines) {
                 it.targets.sent.last().answer(503, notRun = true, statement = REST)
             },
-            EvidenceCase("a refusal whose body never ends", true) {
+            AnswerCase("a refusal whose body never ends", true) {
                 it.targets.sent.last().head(503, notRun = true, statement = REST)
             },
-            EvidenceCase("a refusal of an order or a call for a report", true, RouteKind.STREAMING, Samples.engines) {
+            AnswerCase("a refusal of an order or a call for a report", true, RouteKind.STREAMING, Samples.engines) {
                 it.targets.sent.last().head(200)
                 it.orders.onStatement?.invoke(it.targets.sent.last().target, REST, it.loop.nowMillis())
             },
-            EvidenceCase("a refusal without a time", false) { it.targets.sent.last().answer(503, notRun = true) },
-            EvidenceCase("a refusal in answer to another request", false) {
+            AnswerCase("a refusal without a time", false) { it.targets.sent.last().answer(503, notRun = true) },
+            AnswerCase("a refusal in answer to another request", false) {
                 it.targets.sent.last().head(503, isOwn = false, statement = REST)
             },
         )
