review: show two holders after a first start and an older store

Cause: a process whose first answer of the store is of the second era has seen no change of the era, so it takes the empty copy for a store that never had a holder, and skips the hand-over time.

The store stand-in is silent while it is away. Nothing is fixed.

--- a/review/stand-ins-2/Case.java
+++ b/review/stand-ins-2/Case.java
@@ -41,7 +41,12 @@
     }
 
     Vm startVm(String name, String host, String zone) throws IOException {
-        Vm vm = new Vm(root, temporary, name, host, zone, store.address());
+        return startVm(name, host, zone, store.address());
+    }
+
+    /** Starts an entry VM that reaches the store at [storeAddress]. */
+    Vm startVm(String name, String host, String zone, InetSocketAddress storeAddress) throws IOException {
+        Vm vm = new Vm(root, temporary, name, host, zone, storeAddress);
         vms.add(vm);
         return vm.start();
     }
--- a/review/stand-ins-2/Store.java
+++ b/review/stand-ins-2/Store.java
@@ -32,6 +32,8 @@
         }
     }
 
+    private static final int NO_ANSWER = -1;
+    private static final long SILENCE_MILLIS = 10_000;
     private final HttpServer server;
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final List<Map<String, Object>> history = new ArrayList<>();
@@ -96,7 +98,7 @@
         return copy;
     }
 
-    /** Rejects all calls until [restore]. */
+    /** Leaves all calls without an answer until [restore]. */
     synchronized void goAway() {
         isAway = true;
         notifyAll();
@@ -181,6 +183,20 @@
         for (String key : new ArrayList<>(items.keySet())) if (items.get(key).lease == lease) remove(key);
     }
 
+    /** Ends a call without an answer: nothing more comes on its connection, which stays open for a while. */
+    private static void leaveUnanswered(HttpExchange exchange) {
+        try {
+            Thread.sleep(SILENCE_MILLIS);
+        } catch (InterruptedException end) {
+            Thread.currentThread().interrupt();
+        }
+        exchange.close();
+    }
+
+    private synchronized boolean isAway() {
+        return isAway;
+    }
+
     private void handle(HttpExchange exchange) throws IOException {
         byte[] body = exchange.getRequestBody().readAllBytes();
         Map<String, String> query = new HashMap<>();
@@ -191,6 +207,10 @@
                 query.put(pair.substring(0, equals), URLDecoder.decode(pair.substring(equals + 1), StandardCharsets.UTF_8));
             }
         }
+        if (isAway()) {
+            leaveUnanswered(exchange);
+            return;
+        }
         Map<String, Object> answer = new LinkedHashMap<>();
         int status = 500;
         try {
@@ -198,6 +218,10 @@
         } catch (InterruptedException | RuntimeException failure) {
             answer.put("error", String.valueOf(failure));
         }
+        if (status == NO_ANSWER) {
+            leaveUnanswered(exchange);
+            return;
+        }
         byte[] bytes = Json.write(answer).getBytes(StandardCharsets.UTF_8);
         exchange.getResponseHeaders().set("Content-Type", "application/json");
         exchange.getResponseHeaders().set("Store-Era", "" + eraNow());
@@ -210,7 +234,6 @@
     private synchronized int answer(String call, Map<String, String> query, byte[] body, Map<String, Object> answer)
         throws InterruptedException {
         long now = System.nanoTime() / 1_000_000;
-        if (isAway) return 503;
         String prefix = query.getOrDefault("prefix", "");
         if (call.equals("GET /kv-key")) {
             Item item = items.get(query.get("key"));
@@ -243,7 +266,7 @@
                     if ((Long) event.get("revision") > after && ((String) event.get("key")).startsWith(prefix)) events.add(event);
                 }
                 long left = end - System.nanoTime() / 1_000_000;
-                if (isAway) return 503;
+                if (isAway) return NO_ANSWER;
                 if (era != startedEra) return 410;
                 if (!events.isEmpty() || left <= 0) break;
                 wait(left);
