--- a/review/stand-ins-2/Case.java
+++ b/review/stand-ins-2/Case.java
@@ -21,13 +21,13 @@
     /** Plays the case; true when the rule was broken. */
     abstract boolean play() throws Exception;
 
-    /** Runs the case: exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. */
-    final void run() {
+    /** Runs the case and writes its record to the file [recordName]: exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. */
+    final void run(String recordName) {
         int status = 2;
         Runtime.getRuntime().addShutdownHook(new Thread(this::clean));
         try {
             temporary = Files.createTempDirectory("review");
-            record = new Record(folder.resolve("record.txt"));
+            record = new Record(folder.resolve(recordName));
             record.line("disruption: %s", hasTrouble ? "yes" : "no (TROUBLE=0)");
             store = new Store(new InetSocketAddress("127.0.0.1", 0));
             boolean isBroken = play();
--- a/review/stand-ins-2/Vm.java
+++ b/review/stand-ins-2/Vm.java
@@ -17,7 +17,8 @@
     final InetSocketAddress front;
     final InetSocketAddress readiness;
     final Path log;
-    Process process;
+    volatile Process process;
+    private volatile boolean isClosed;
     private final Path settings;
     private final Path root;
 
@@ -69,6 +70,25 @@
         return this;
     }
 
+    /** Starts the process again, as the platform does, half a second after each end of its own. */
+    Vm restartAtEnd(Runnable onEnd) {
+        Replica.daemon("restart of " + name, () -> {
+            try {
+                while (true) {
+                    process.waitFor();
+                    if (isClosed) return;
+                    onEnd.run();
+                    Thread.sleep(500);
+                    Files.writeString(settings, Files.readString(settings).replace("\"bootstrap\":true", "\"bootstrap\":false"));
+                    if (!isClosed) start();
+                }
+            } catch (IOException | InterruptedException failure) {
+                throw new IllegalStateException(failure);
+            }
+        });
+        return this;
+    }
+
     /** Asks `/ready` as the balancer does; -1 without an answer in time. */
     int ready(int timeoutMillis) {
         try (Caller caller = new Caller(readiness, timeoutMillis)) {
@@ -94,6 +114,7 @@
 
     @Override
     public void close() {
+        isClosed = true;
         if (process == null) return;
         process.destroyForcibly();
         try {
