Do not take a reset connection for the end of an answer

Callers got a 200 with a part of the replica's body as the whole one when the replica answered a long upload early, without a length, and closed or reset the connection while the upload was still being written.

Cause: the decoder of Netty ends an answer without a length at any end of the connection. The kernel reports a reset only once. If a write hears of it first, the channel closes like one whose stream has ended. If the end of the stream comes before the reset, no read hears of the reset, and uploads of some MB fit into the send buffer, so that no write does either.

Change: connections to targets, engines and the store permit half-closure, which tells the end of the stream from the end of the connection. AnswerFilter hands only the former to the decoder, not after an error, and only once the kernel has taken the whole request. An answer whose stream ends early while the replica reads on is still passed on.

--- /dev/null
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/AnswerFilter.kt
@@ -0,0 +1,52 @@
+package dev.bergamotwind.transport
+
+import io.netty.channel.ChannelHandler
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.ChannelInputShutdownEvent
+
+/**
+ * Lets only a clean end of the stream pass to the [decoder]. That of Netty takes any end of the connection for the end
+ * of an answer without a length.
+ *
+ * Needs a channel that permits half-closure, which tells the end of the stream from the end of the connection. The
+ * kernel reports a reset only once, to a write that is under way or to a read, and to no read after the end of the
+ * stream. So that end counts as clean only once the kernel has taken the whole request.
+ */
+internal class AnswerFilter(private val decoder: Class<out ChannelHandler>, private val requests: RequestWrites) :
+    ChannelInboundHandlerAdapter() {
+    private var isBroken = false
+
+    @Deprecated("Overrides the handler of Netty, whose interface is deprecated only for outbound handlers")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable): Unit = endBroken(context, cause)
+
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        when {
+            event !is ChannelInputShutdownEvent -> super.userEventTriggered(context, event)
+
+            // A reset that a read has seen ends the stream too.
+            isBroken -> Unit
+
+            requests.isUnderWay -> requests.onWritten = { endStream(context, event) }
+
+            else -> endStream(context, event)
+        }
+    }
+
+    /** Passes by the decoder, which has heard of the end of the stream if that was a clean one. */
+    override fun channelInactive(context: ChannelHandlerContext) {
+        (context.pipeline().context(decoder) ?: context).fireChannelInactive()
+    }
+
+    // The decoder ends an answer without a length, and any other one stays incomplete.
+    private fun endStream(context: ChannelHandlerContext, event: ChannelInputShutdownEvent) {
+        context.fireUserEventTriggered(event)
+        context.close()
+    }
+
+    private fun endBroken(context: ChannelHandlerContext, cause: Throwable) {
+        isBroken = true
+        context.fireExceptionCaught(cause)
+        context.close()
+    }
+}
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/ClientConnection.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/ClientConnection.kt
@@ -118,7 +118,9 @@
     override fun channelInactive(context: ChannelHandlerContext) {
         val unfinished = call
         call = null
-        unfinished?.broken(failure ?: "the connection ended before the answer was complete")
+        val reason = failure ?: "the connection ended before the answer was complete"
+        failure = reason
+        unfinished?.broken(reason)
     }
 
     private fun write(channelContext: ChannelHandlerContext, started: ClientCall) {
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/Defaults.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/Defaults.kt
@@ -6,6 +6,13 @@
 /** Bytes of a request line or status line that are accepted. */
 internal const val FIRST_LINE_LIMIT_BYTES: Int = 8_192
 
+/**
+ * Bytes of a long request that the kernel holds for a target. A larger request counts as written only once the target's
+ * side has taken the rest, so that a target that closes the connection without reading it is noticed. 256 KiB carry
+ * 100 Mbit/s over a round trip of 20 ms.
+ */
+internal const val SEND_BUFFER_BYTES: Int = 262_144
+
 /** Bytes of the headers of a target's answer that are accepted. */
 internal const val ANSWER_HEADER_LIMIT_BYTES: Int = 32_768
 
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/HttpDialer.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/HttpDialer.kt
@@ -65,6 +65,7 @@
             .group(loop.group)
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, call.request.connectTimeoutMillis)
             .handler(initializer)
             .connect(address)
@@ -86,6 +87,8 @@
             .setMaxChunkSize(BODY_CHUNK_BYTES)
         val decoder = AnswerDecoder(configuration, connection)
         connection.hasUnreadBytes = decoder::hasUnreadBytes
-        channel.pipeline().addLast(HttpRequestEncoder(), decoder, connection)
+        val requests = RequestWrites()
+        val filter = AnswerFilter(decoder.javaClass, requests)
+        channel.pipeline().addLast(HttpRequestEncoder(), filter, decoder, requests, connection)
     }
 }
--- a/bergamotwind-transport/src/test/kotlin/dev/bergamotwind/transport/RawServer.kt
+++ b/bergamotwind-transport/src/test/kotlin/dev/bergamotwind/transport/RawServer.kt
@@ -59,6 +59,12 @@
 
     fun close() = socket.close()
 
+    /** Ends the stream to the other side, and reads on until that ends its own. */
+    fun endStream() {
+        socket.shutdownOutput()
+        socket.getInputStream().skip(Long.MAX_VALUE)
+    }
+
     fun reset() {
         socket.setSoLinger(true, 0)
         socket.close()
