Refuse what RFC 9112 does not call a response

Callers got answers with status 600, 999 and 2000, answers whose head held a blank or a control byte in the name of a field, and bodies cut by a malformed length. An answer with status 000 let them wait until their deadline.

Cause: the decoder of Netty repairs malformed heads, lengths and chunks, and reads any number as a status. ClientConnection skipped every status below 200 as an interim answer.

Change: AnswerSyntax decides whether the bytes of a connection are answers: first line, fields, framing, chunks and trailers. AnswerFilter lets no byte of a malformed line pass to the decoder, and ends the connection with what is wrong. All callers of HttpDialer get it: requests to targets, reports, orders and the store.

Not repaired any more: folded fields, lines that end without CR, a status line without the blank after the code, equal lengths in several fields.

--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/ClientConnection.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/ClientConnection.kt
@@ -110,6 +110,7 @@
 
     @Deprecated("Overrides the handler of Netty, whose interface is deprecated only for outbound handlers")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        if (isIdle && cause is DecoderException) return endForUnexpectedBytes()
         failure = if (cause is IOException) "the connection was reset" else "unreadable answer: ${cause.message}"
         if (cause !is IOException && cause !is DecoderException) Unexpected.log("reading an answer failed", cause)
         context.close()
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/HttpDialer.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/HttpDialer.kt
@@ -88,7 +88,7 @@
         val decoder = AnswerDecoder(configuration, connection)
         connection.hasUnreadBytes = decoder::hasUnreadBytes
         val requests = RequestWrites()
-        val filter = AnswerFilter(decoder.javaClass, requests)
+        val filter = AnswerFilter(AnswerSyntax { connection.answersHaveNoBody }, decoder.javaClass, requests)
         channel.pipeline().addLast(HttpRequestEncoder(), filter, decoder, requests, connection)
     }
 }
