Check the answers that the other edge, orders, etcd and commands read

Callers of the OpenAI edge got the same broken answers: malformed heads that the library repairs, statuses above 599, and a part of a body after a reset. An order counted as carried out, and a platform call as answered, after a malformed 200; some calls waited for their time-out.

Cause: these readers use Armeria, whose decoder is the one of Netty.

Change: AnswerChecks puts the check of HttpDialer around the codec of Armeria's connections: TargetClient, HttpEngineControl, PlatformClient, EtcdWatch and the command line. The commands speak HTTP/1.1 only, since the check is one of HTTP/1.1. Not checked: connections with TLS, which only the command line may use.

--- a/bergamotwind-cli/src/main/kotlin/dev/bergamotwind/cli/AdministrationClient.kt
+++ b/bergamotwind-cli/src/main/kotlin/dev/bergamotwind/cli/AdministrationClient.kt
@@ -6,6 +6,7 @@
 import arrow.core.right
 import com.linecorp.armeria.client.BlockingWebClient
 import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.client.ClientFactoryOptions
 import com.linecorp.armeria.client.UnprocessedRequestException
 import com.linecorp.armeria.client.WebClient
 import com.linecorp.armeria.common.AggregatedHttpResponse
@@ -21,18 +22,23 @@
 import dev.bergamotwind.configuration.OperatorConfiguration
 import dev.bergamotwind.configuration.SubmitChanges
 import dev.bergamotwind.core.TimeLineEvent
+import dev.bergamotwind.transport.AnswerChecks
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.JsonObject
 import java.net.URI
 import java.time.Duration
+import java.util.function.Consumer
 
 /** Calls the administration API of [nodes]. Calls block. */
 internal class AdministrationClient(private val nodes: List<URI>, private val credential: String) : AutoCloseable {
     private val factory = ClientFactory.builder()
         .workerGroup(EventLoopGroups.newEventLoopGroup(1, "administration-client", true), true)
         .connectTimeout(CONNECT_TIMEOUT)
+        // The check of answers is one of HTTP/1.1.
+        .preferHttp1(true)
+        .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, Consumer(AnswerChecks::addTo))
         .build()
     private val clients = nodes.associateWith { client(it) }
 
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/TargetClient.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/TargetClient.kt
@@ -4,6 +4,7 @@
 import arrow.core.left
 import arrow.core.right
 import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.client.ClientFactoryOptions
 import com.linecorp.armeria.client.Endpoint
 import com.linecorp.armeria.client.RequestOptions
 import com.linecorp.armeria.client.UnprocessedRequestException
@@ -16,11 +17,13 @@
 import com.linecorp.armeria.common.SessionProtocol
 import dev.bergamotwind.api.Failure
 import dev.bergamotwind.api.RunOutcome
+import dev.bergamotwind.transport.AnswerChecks
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.future.await
 import java.time.Duration
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
+import java.util.function.Consumer
 
 /**
  * Sends requests to targets without retries. Each request gets a connection of its own: answers name no request, so a
@@ -32,6 +35,7 @@
         .connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS)
         .idleTimeoutMillis(IDLE_TIMEOUT_MILLIS)
         .maxNumRequestsPerConnection(1)
+        .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, Consumer(AnswerChecks::addTo))
         .build()
     private val clients = ConcurrentHashMap<String, WebClient>()
 
--- a/bergamotwind-platform/src/main/kotlin/dev/bergamotwind/platform/HttpClients.kt
+++ b/bergamotwind-platform/src/main/kotlin/dev/bergamotwind/platform/HttpClients.kt
@@ -2,11 +2,14 @@
 
 import com.linecorp.armeria.client.ClientFactory
 import com.linecorp.armeria.client.ClientFactoryBuilder
+import com.linecorp.armeria.client.ClientFactoryOptions
 import com.linecorp.armeria.client.WebClient
 import com.linecorp.armeria.common.util.TransportType
+import dev.bergamotwind.transport.AnswerChecks
 import io.netty.channel.ChannelOption
 import java.util.concurrent.ThreadFactory
 import java.util.concurrent.atomic.AtomicInteger
+import java.util.function.Consumer
 import kotlin.time.Duration
 import kotlin.time.toJavaDuration
 
@@ -25,6 +28,7 @@
         .workerGroup(TransportType.NIO.newIoEventLoopGroup(EVENT_LOOPS) { threads }, true)
         .connectTimeout(connectTimeout.toJavaDuration())
         .channelOption(ChannelOption.SO_KEEPALIVE, true)
+        .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, Consumer(AnswerChecks::addTo))
         .apply(configure)
         .build()
 }
--- /dev/null
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/AnswerChecks.kt
@@ -0,0 +1,17 @@
+package dev.bergamotwind.transport
+
+import io.netty.channel.ChannelOption
+import io.netty.channel.ChannelPipeline
+
+/** The check of answers that [HttpDialer] makes, for the connections of other clients. */
+public object AnswerChecks {
+    /**
+     * Adds the check to the [pipeline] of a client that speaks HTTP/1.1 without TLS by an
+     * [io.netty.handler.codec.http.HttpClientCodec], and sends no HEAD requests. The pipeline needs the codec
+     * once it is connected.
+     */
+    public fun addTo(pipeline: ChannelPipeline) {
+        pipeline.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+        pipeline.addFirst(CodecGuard())
+    }
+}
