Bound the memory that all answers take together

With 150 callers of a replica that sends bytes without end, none of the requests to another service was answered, and none of 20 afterwards.

Cause: each answer may take 4 MB in a buffer that doubles, and nothing bounded their sum. A heap of 96 MB is full with a few dozen; the OutOfMemoryError hits whatever runs then, and at last the event loop.

--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/entry/EntryProcess.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/entry/EntryProcess.kt
@@ -68,6 +68,7 @@
             override fun closeIdle() = callers.closeIdle()
         },
         recorder = recorder,
+        answerMemory = loop.answerMemory,
     )
 
     private fun recordForeignAnswer(sender: InetSocketAddress, description: String) {
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingPorts.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingPorts.kt
@@ -1,6 +1,7 @@
 package dev.bergamotwind.serving
 
 import dev.bergamotwind.api.EventRecorder
+import dev.bergamotwind.core.AnswerMemory
 import dev.bergamotwind.serving.call.RefusalHeaders
 import dev.bergamotwind.serving.call.TargetTransport
 import dev.bergamotwind.serving.peer.PeerTransport
@@ -29,4 +30,6 @@
     public val callers: CallerConnections,
     /** Records events. */
     public val recorder: EventRecorder,
+    /** Bounds what the process keeps of all answers. */
+    public val answerMemory: AnswerMemory = AnswerMemory.ofHeap(),
 )
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/ServingVm.kt
@@ -456,6 +456,7 @@
                 },
             )
         override val statements = TargetStatements(targets, ports.loop, ports.recorder)
+        override val answerMemory get() = ports.answerMemory
         override val transport: TargetTransport get() = ports.transport
         override val rateLimiter = FleetRateLimiter(ports.loop, settings.rateToleranceTokens) { peers.reachableShare }
         override val waitingCalls = WaitingCalls()
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallAttempt.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallAttempt.kt
@@ -19,6 +19,9 @@
     private val context: ServingContext,
     private val outcomeHandler: AttemptOutcomeHandler,
 ) : AttemptListener {
+    private val memory = context.answerMemory.share {
+        fail("the answers to all requests together take too much memory")
+    }
     private val isStream = progress.route?.kind == RouteKind.STREAMING
     private var handle: Attempt? = null
     private var head: ResponseHead? = null
@@ -73,6 +76,12 @@
         handle?.cancel()
     }
 
+    /** Drops what is kept of the answer once the attempt has ended. */
+    fun release() {
+        relay.clear()
+        memory.release()
+    }
+
     override fun onHead(head: ResponseHead) {
         if (!isActive) return
         recordContact()
@@ -109,6 +118,8 @@
         recordContact()
         val before = relay.eventCount
         if (!relay.append(bytes)) return fail("the response exceeds the size limit")
+        memory.resize(relay.keptBytes)
+        if (!isActive) return
         if (!(isStream && current.isSuccess) || relay.eventCount > before) recordProgress(current)
         if (!exchange.isWritable && !isPaused) pauseUntilWritable()
     }
@@ -213,6 +224,8 @@
     private fun finishResponse(head: ResponseHead) {
         if (!isStream) context.picker.recordFirstByte(target, load, call.modelRequest)
         if (head.status >= FIRST_SERVER_ERROR) target.health.recordFailure(now)
+        // What is passed on counts as bytes for the caller.
+        memory.release()
         if (!relay.complete()) {
             recordBroken()
             return fail("the stream ended within an event or before the first one")
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallHandler.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/CallHandler.kt
@@ -321,6 +321,7 @@
     private fun endAttempt(attempt: CallAttempt) {
         stallDetector.cancel()
         if (isActive(attempt)) activeAttempt = null
+        attempt.release()
         context.picker.recordEnd(attempt.target, attempt.load)
     }
 }
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/EventSplitter.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/EventSplitter.kt
@@ -1,19 +1,22 @@
 package dev.bergamotwind.serving.call
 
-import java.io.ByteArrayOutputStream
+import dev.bergamotwind.core.AnswerBuffer
 
 /**
  * Splits the bytes of a server-sent event stream into complete events, wherever the chunks are cut. The bytes of an
  * event are kept as received; an event that is not terminated by a blank line is never returned.
  */
 internal class EventSplitter {
-    private val event = ByteArrayOutputStream()
-    private val line = ByteArrayOutputStream()
+    private val event = AnswerBuffer()
+    private val line = AnswerBuffer()
     private var id: Long? = null
 
     /** True when bytes of an incomplete event have arrived. */
     val hasPartialEvent: Boolean get() = event.size() > 0
 
+    /** Bytes of memory that the incomplete event takes. */
+    val keptBytes: Long get() = event.capacityBytes + line.capacityBytes
+
     /** Returns the events that [bytes] complete, or null when an event exceeds the size limit. */
     fun append(bytes: ByteArray): List<StreamEvent>? {
         val events = mutableListOf<StreamEvent>()
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ResponseRelay.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ResponseRelay.kt
@@ -1,7 +1,7 @@
 package dev.bergamotwind.serving.call
 
 import dev.bergamotwind.api.CallerExchange
-import java.io.ByteArrayOutputStream
+import dev.bergamotwind.core.AnswerBuffer
 
 /**
  * Relays the response of one call to the caller. A plain response is buffered until it is complete, so that it can
@@ -10,7 +10,7 @@
  */
 internal class ResponseRelay(private val exchange: CallerExchange, private val closeAfter: () -> Boolean) {
     private var head: ResponseHead? = null
-    private val body = ByteArrayOutputStream()
+    private var body = AnswerBuffer()
     private var splitter = EventSplitter()
     private var isStream = false
 
@@ -26,12 +26,20 @@
     var lastEventId: Long? = null
         private set
 
+    /** Bytes of memory that the response of the attempt takes here. */
+    val keptBytes: Long get() = if (isStream) splitter.keptBytes else body.capacityBytes
+
     /** Begins the response of an attempt. */
     fun begin(newHead: ResponseHead, isStream: Boolean) {
         if (!isStarted) head = newHead
         this.isStream = isStream
+        clear()
+    }
+
+    /** Drops what is kept of the response of an attempt. */
+    fun clear() {
         splitter = EventSplitter()
-        body.reset()
+        body = AnswerBuffer()
     }
 
     /** Buffers or relays [bytes] of the body; false when the body or an event exceeds its size limit. */
--- a/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ServingContext.kt
+++ b/bergamotwind-serving/src/main/kotlin/dev/bergamotwind/serving/call/ServingContext.kt
@@ -2,6 +2,7 @@
 
 import dev.bergamotwind.api.EventRecorder
 import dev.bergamotwind.api.ServiceId
+import dev.bergamotwind.core.AnswerMemory
 import dev.bergamotwind.serving.ServingLoop
 import dev.bergamotwind.serving.catalogue.ServedConfiguration
 import dev.bergamotwind.serving.crash.EngineCrashDetector
@@ -26,6 +27,9 @@
     /** What targets have stated about themselves. */
     val statements: TargetStatements
     val transport: TargetTransport
+
+    /** Bounds what is kept of all answers. */
+    val answerMemory: AnswerMemory
     val rateLimiter: FleetRateLimiter
     val waitingCalls: WaitingCalls
     val demand: DemandMeter
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/Defaults.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/Defaults.kt
@@ -31,6 +31,9 @@
 /** Bytes queued for a slow reader below which its source is resumed. */
 internal const val WRITE_QUEUE_LOW_BYTES: Int = 16_384
 
+/** Bytes of memory that a write takes beside its content until the kernel has taken it: buffers and a promise. */
+internal const val WRITE_OVERHEAD_BYTES: Long = 1_024
+
 /** Requests of one caller connection that are kept while an earlier one is answered; further bytes stay unread. */
 internal const val PIPELINED_REQUESTS: Int = 4
 
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/EventLoop.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/EventLoop.kt
@@ -1,5 +1,6 @@
 package dev.bergamotwind.transport
 
+import dev.bergamotwind.core.AnswerMemory
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
@@ -9,7 +10,10 @@
  * The thread on which all connections and timers run. NIO is chosen because the native transports need libraries
  * that not every VM permits.
  */
-public class EventLoop : AutoCloseable {
+public class EventLoop(
+    /** Bounds what the connections of the loop keep of answers. */
+    public val answerMemory: AnswerMemory = AnswerMemory.ofHeap(),
+) : AutoCloseable {
     internal val group: EventLoopGroup = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val loop = group.next()
 
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/HttpDialer.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/HttpDialer.kt
@@ -1,5 +1,6 @@
 package dev.bergamotwind.transport
 
+import dev.bergamotwind.core.AnswerMemory
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
@@ -20,6 +21,8 @@
     /** Hears of an answer that does not belong to the request that waits for one, with its sender and a description. */
     internal val onForeignAnswer: (InetSocketAddress, String) -> Unit = { _, _ -> },
 ) {
+    /** Bounds what is kept of the answers. */
+    public val answerMemory: AnswerMemory get() = loop.answerMemory
     private val kept = HashMap<InetSocketAddress, ArrayDeque<ClientConnection>>()
 
     /** Sends [request] to [address]; [listener] hears what becomes of it, never before this returns. */
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/HttpListener.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/HttpListener.kt
@@ -62,7 +62,7 @@
 
     private fun prepare(channel: SocketChannel) {
         KeepAlive.enable(channel)
-        val connection = ServerConnection(limits, handler) { connections -= it }
+        val connection = ServerConnection(limits, loop.answerMemory, handler) { connections -= it }
         connections += connection
         val configuration = HttpDecoderConfig()
             .setMaxInitialLineLength(FIRST_LINE_LIMIT_BYTES)
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/ServerConnection.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/ServerConnection.kt
@@ -1,6 +1,7 @@
 package dev.bergamotwind.transport
 
 import dev.bergamotwind.api.Header
+import dev.bergamotwind.core.AnswerMemory
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
@@ -17,6 +18,7 @@
 /** One caller connection: collects whole requests and answers them in order. */
 internal class ServerConnection(
     private val limits: () -> ListenerLimits,
+    private val answerMemory: AnswerMemory,
     private val handler: IncomingHandler,
     private val onClosed: (ServerConnection) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
@@ -123,7 +125,7 @@
     private fun next() {
         val (request, keepAlive) = waiting.removeFirstOrNull() ?: return
         context.channel().config().isAutoRead = true
-        val exchange = ServerExchange(context, keepAlive, ::answered)
+        val exchange = ServerExchange(context, keepAlive, answerMemory, ::answered)
         active = exchange
         handler.handle(request, exchange)
     }
@@ -133,7 +135,9 @@
         head = null
         if (active == null && waiting.isEmpty() && !closing) {
             closing = true
-            ServerExchange(context, false) { _, _, _ -> close() }.answer(status, emptyList(), ByteArray(0), true)
+            ServerExchange(context, false, answerMemory) { _, _, _ ->
+                close()
+            }.answer(status, emptyList(), ByteArray(0), true)
         } else {
             close()
         }
--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/ServerExchange.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/ServerExchange.kt
@@ -2,6 +2,7 @@
 
 import dev.bergamotwind.api.CallerExchange
 import dev.bergamotwind.api.Header
+import dev.bergamotwind.core.AnswerMemory
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
@@ -21,6 +22,7 @@
 internal class ServerExchange(
     private val context: ChannelHandlerContext,
     keepAlive: Boolean,
+    answerMemory: AnswerMemory,
     /** Called with the write of the answer's end if that is still under way, and whether to close the connection. */
     private val onAnswered: (ServerExchange, ChannelFuture?, Boolean) -> Unit,
 ) : CallerExchange {
@@ -29,6 +31,8 @@
     override val isWritable: Boolean get() = context.channel().isWritable
     private var closeAfter = !keepAlive
     private var ended = false
+    private val memory = answerMemory.share { context.close() }
+    private var unsentBytes = 0L
 
     override fun answer(status: Int, headers: List<Header>, body: ByteArray, close: Boolean) {
         if (ended) return
@@ -39,7 +43,7 @@
         )
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         addHeaders(response, headers, close)
-        end(response)
+        end(response, body.size)
     }
 
     override fun start(status: Int, headers: List<Header>, close: Boolean) {
@@ -47,15 +51,15 @@
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
         response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
         addHeaders(response, headers, close)
-        context.writeAndFlush(response)
+        send(response, 0)
     }
 
     override fun write(bytes: ByteArray) {
-        if (!ended && bytes.isNotEmpty()) context.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+        if (!ended && bytes.isNotEmpty()) send(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)), bytes.size)
     }
 
     override fun finish() {
-        if (!ended) end(LastHttpContent.EMPTY_LAST_CONTENT)
+        if (!ended) end(LastHttpContent.EMPTY_LAST_CONTENT, 0)
     }
 
     override fun abort() {
@@ -70,16 +74,33 @@
         if (closeAfter) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
 
-    private fun end(last: Any) {
+    private fun end(last: Any, bodyBytes: Int) {
         ended = true
+        val sent = send(last, bodyBytes)
         if (closeAfter) {
             // The connection ends only after the last byte has been handed to the kernel.
-            context.writeAndFlush(last).addListener(ChannelFutureListener { onAnswered(this, null, true) })
+            sent.addListener(ChannelFutureListener { onAnswered(this, null, true) })
         } else {
-            onAnswered(this, context.writeAndFlush(last), false)
+            onAnswered(this, sent, false)
         }
     }
 
+    /** Writes [message] with [bodyBytes] bytes of the body, which count as kept until the kernel has taken them. */
+    private fun send(message: Any, bodyBytes: Int): ChannelFuture {
+        val sent = context.writeAndFlush(message)
+        if (sent.isDone) return sent
+        val kept = bodyBytes + WRITE_OVERHEAD_BYTES
+        unsentBytes += kept
+        sent.addListener(
+            ChannelFutureListener {
+                unsentBytes -= kept
+                memory.resize(unsentBytes)
+            },
+        )
+        memory.resize(unsentBytes)
+        return sent
+    }
+
     companion object {
         fun continueAnswer(): FullHttpResponse =
             DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER)
--- a/bergamotwind-transport/src/test/kotlin/dev/bergamotwind/transport/HttpListenerSpec.kt
+++ b/bergamotwind-transport/src/test/kotlin/dev/bergamotwind/transport/HttpListenerSpec.kt
@@ -2,6 +2,7 @@
 
 import dev.bergamotwind.api.CallerExchange
 import dev.bergamotwind.api.Header
+import dev.bergamotwind.core.AnswerMemory
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -15,7 +16,8 @@
 
 /** Guards the callers' side: whole requests in order, broken answers that do not look whole, callers who leave. */
 class HttpListenerSpec {
-    private val loop = EventLoop()
+    private val memory = AnswerMemory(MEMORY_BYTES)
+    private val loop = EventLoop(memory)
     private var handle: (IncomingRequest, CallerExchange) -> Unit = { request, exchange ->
         exchange.answer(200, listOf(Header("X-Path", request.path)), request.body, false)
     }
@@ -68,6 +70,29 @@
         }
     }
 
+    // Guards against callers that do not read their answers and take all memory.
+    @Test
+    fun `ends connections whose unread answers take too much memory, and serves others`() {
+        handle = { request, exchange ->
+            exchange.answer(200, emptyList(), ByteArray(if (request.path == "/small") 4 else UNREAD_BYTES), false)
+        }
+        val idle = List(UNREAD_ANSWERS) { connect().apply { send("GET /large HTTP/1.1\r\nHost: h\r\n\r\n") } }
+        connect().use { socket ->
+            repeat(20) {
+                socket.send("GET /small HTTP/1.1\r\nHost: h\r\n\r\n")
+                assertTrue("200 OK" in socket.readUntil("\r\n\r\n"))
+                socket.getInputStream().readNBytes(4)
+                assertTrue(memory.usedBytes <= MEMORY_BYTES) { "${memory.usedBytes} bytes" }
+                Thread.sleep(10)
+            }
+        }
+        val lengths = idle.map { socket ->
+            runCatching { socket.use { it.readUntil("\r\n\r\n") + it.getInputStream().readNBytes(UNREAD_BYTES).size } }
+        }
+        val whole = lengths.count { it.getOrDefault("").endsWith("\n$UNREAD_BYTES") }
+        assertTrue(whole in 1 until UNREAD_ANSWERS) { "$whole whole answers" }
+    }
+
     @Test
     fun `an answer that is broken off does not look complete`() {
         handle = { _, exchange ->
@@ -176,4 +201,12 @@
             assertTrue(socket.readAll().startsWith("HTTP/1.1 400"))
         }
     }
+
+    private companion object {
+        const val MEMORY_BYTES = 100_000_000L
+        const val UNREAD_ANSWERS = 8
+
+        /** More than the kernel takes for a caller that does not read. */
+        const val UNREAD_BYTES = 24_000_000
+    }
 }
