End the process when its event loop has ended

A process whose event loop had been ended by an OutOfMemoryError went on: it accepted no connection and answered neither callers nor the readiness check, and the platform, which saw it alive, did not start it again.

Cause: Netty logs the error that ends its thread and lets the thread end.

The entry process then writes event=loop.ended and halts with status 2; its shutdown hook would wait for the loop.

--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/entry/EntryProcess.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/entry/EntryProcess.kt
@@ -27,7 +27,7 @@
 internal class EntryProcess private constructor(private val path: Path, private val settings: PlatformSettings) {
     private val log = EventLog().also(LibraryMessages::recordTo)
     private val recorder = MetricsRecorder(log)
-    private val loop = EventLoop()
+    private val loop = EventLoop(onUnexpectedEnd = ::haltProcess)
     private val servingLoop = NettyServingLoop(loop)
     private val dialer = HttpDialer(loop, ::recordForeignAnswer)
     private val callers = HttpListener(loop, ::limits) { request, exchange ->
@@ -108,6 +108,12 @@
         )
     }
 
+    // Runs no shutdown hook: a planned stop needs the loop.
+    private fun haltProcess() {
+        System.err.println("event=loop.ended")
+        Runtime.getRuntime().halt(LOOP_ENDED_EXIT_CODE)
+    }
+
     private fun stop() {
         val stopped = CountDownLatch(1)
         loop.execute { vm.stop { stopped.countDown() } }
@@ -121,6 +127,7 @@
         private const val READY = 200
         private const val NOT_READY = 503
         private const val INVALID_SETTINGS_EXIT_CODE = 1
+        private const val LOOP_ENDED_EXIT_CODE = 2
 
         /** Runs the process until it is stopped. */
         fun run() {
