Bound the answers that the OpenAI edge and the platform client keep

An answer without end was kept until its time-out, by the edge for a plain service or a completion that is no stream, and by the reader of etcd, VM list and engine reports.

Cause: Armeria's limit was off, and whole bodies were collected without one. EtcdWatch collected a line of any length.

Change: the edge counts whole bodies in an AnswerMemory of its own; calls to the platform and to engines read at most 64 MiB, and a watch no event above that.

The edge's use of AnswerMemory and the bound of a watch have no test of their own.

--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/TargetClient.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/TargetClient.kt
@@ -17,6 +17,7 @@
 import com.linecorp.armeria.common.SessionProtocol
 import dev.bergamotwind.api.Failure
 import dev.bergamotwind.api.RunOutcome
+import dev.bergamotwind.core.AnswerMemory
 import dev.bergamotwind.transport.AnswerChecks
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.future.await
@@ -38,6 +39,7 @@
         .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, Consumer(AnswerChecks::addTo))
         .build()
     private val clients = ConcurrentHashMap<String, WebClient>()
+    private val answerMemory = AnswerMemory.ofHeap()
 
     /** Sends a request to [address] and waits for the response headers; the response must end in [timeoutMillis]. */
     suspend fun send(
@@ -61,7 +63,7 @@
             val split = response.split()
             val headers = split.headers().await()
             if (headers.status() == HttpStatus.UNKNOWN) response.whenComplete().await()
-            TargetResponse(headers, split.body(), response).right()
+            TargetResponse(headers, split.body(), response, answerMemory).right()
         } catch (cancelled: CancellationException) {
             response.abort()
             throw cancelled
--- a/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/TargetResponse.kt
+++ b/bergamotwind-node/src/main/kotlin/dev/bergamotwind/node/TargetResponse.kt
@@ -9,18 +9,20 @@
 import com.linecorp.armeria.common.stream.StreamMessage
 import dev.bergamotwind.api.Failure
 import dev.bergamotwind.api.RunOutcome
+import dev.bergamotwind.core.AnswerBuffer
+import dev.bergamotwind.core.AnswerMemory
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.catch
 import kotlinx.coroutines.flow.map
 import kotlinx.coroutines.reactive.asFlow
-import java.io.ByteArrayOutputStream
 
 /** Headers and body of a target's response. */
 internal class TargetResponse(
     val headers: ResponseHeaders,
     private val body: StreamMessage<HttpData>,
     private val response: HttpResponse,
+    private val answerMemory: AnswerMemory,
 ) {
     /** Whether the target refused the request because it is draining. */
     val isDraining: Boolean get() = headers.status().code() == SERVICE_UNAVAILABLE && headers.contains("x-draining")
@@ -36,10 +38,20 @@
 
     /** Reads the complete body. */
     suspend fun aggregate(address: String): Either<Failure.TargetFailed, HttpData> {
-        val bytes = ByteArrayOutputStream()
+        val bytes = AnswerBuffer()
         var failure: Failure.TargetFailed? = null
-        bodyParts(address).collect { part -> part.fold({ failure = it }, { bytes.writeBytes(it.array()) }) }
-        return failure?.left() ?: HttpData.wrap(bytes.toByteArray()).right()
+        val memory = answerMemory.share(::abort)
+        try {
+            bodyParts(address).collect { part ->
+                part.onRight {
+                    bytes.writeBytes(it.array())
+                    memory.resize(bytes.capacityBytes)
+                }.onLeft { failure = it }
+            }
+            return failure?.left() ?: HttpData.wrap(bytes.toByteArray()).right()
+        } finally {
+            memory.release()
+        }
     }
 
     /** Cancels the request at the target. */
--- a/bergamotwind-platform/src/main/kotlin/dev/bergamotwind/platform/Defaults.kt
+++ b/bergamotwind-platform/src/main/kotlin/dev/bergamotwind/platform/Defaults.kt
@@ -22,5 +22,8 @@
 /** Time after which an order to an engine, or the reading of its report, fails. */
 public val DEFAULT_CONTROL_TIMEOUT: Duration = 2.seconds
 
+/** Largest answer that is read, a quarter of the 256 MB of a node. A longer one counts as broken. */
+internal const val RESPONSE_LIMIT_BYTES: Long = 67_108_864
+
 /** Largest value that the key-value service takes. */
 public const val MAXIMUM_VALUE_BYTES: Int = 1_000_000
--- a/bergamotwind-platform/src/main/kotlin/dev/bergamotwind/platform/EtcdWatch.kt
+++ b/bergamotwind-platform/src/main/kotlin/dev/bergamotwind/platform/EtcdWatch.kt
@@ -34,6 +34,7 @@
     AutoCloseable {
     private val created = CompletableFuture<Unit>()
     private val line = ByteArrayOutputStream()
+    private var isTooLong = false
     private val closed = AtomicBoolean()
     private val ended = AtomicBoolean()
     private val delivery = Executors.newSingleThreadExecutor { Thread(it, "platform-watch").apply { isDaemon = true } }
@@ -71,7 +72,12 @@
     }
 
     override fun onNext(part: HttpObject) {
-        if (part !is HttpData) return
+        if (part !is HttpData || isTooLong) return
+        if (line.size() + part.length() > RESPONSE_LIMIT_BYTES) {
+            isTooLong = true
+            subscription?.cancel()
+            return finish(IllegalStateException("an event of more than $RESPONSE_LIMIT_BYTES bytes"))
+        }
         for (byte in part.array()) {
             if (byte == LINE_END) {
                 val text = line.toString(Charsets.UTF_8)
--- a/bergamotwind-platform/src/main/kotlin/dev/bergamotwind/platform/HttpClients.kt
+++ b/bergamotwind-platform/src/main/kotlin/dev/bergamotwind/platform/HttpClients.kt
@@ -39,5 +39,5 @@
         .factory(factory)
         .responseTimeout(timeout.toJavaDuration())
         .writeTimeout(timeout.toJavaDuration())
-        .maxResponseLength(0)
+        .maxResponseLength(RESPONSE_LIMIT_BYTES)
         .build()
--- a/bergamotwind-platform/src/test/kotlin/dev/bergamotwind/platform/BrokenAnswerSpec.kt
+++ b/bergamotwind-platform/src/test/kotlin/dev/bergamotwind/platform/BrokenAnswerSpec.kt
@@ -41,11 +41,13 @@
     }
 
     private companion object {
+        /** Long enough for the longest answer that is read. */
         val TIMEOUT = 10.seconds
         val target = TargetId("engine-1")
         val order =
             EngineOrder(target, 1, FencingNumber(7), EngineAction.LOAD, Artifact(ModelId("m"), "1"), Mebibytes(10))
         const val UNSIZED = "HTTP/1.1 200 OK\r\n\r\n"
+        val endless = RawAnswerServer.writeWithoutEnd("x".repeat(65_536))
 
         fun sendOrder(address: String) = HttpEngineControl(TIMEOUT) { address }.use { it.send(order) }
 
@@ -61,6 +63,7 @@
                     AnswerCase("$name, ${MalformedAnswers.shown(it)}", it, RawAnswerServer.stayOpen, call)
                 } + listOf(
                     AnswerCase("$name, no length, reset", UNSIZED, RawAnswerServer.reset, call),
+                    AnswerCase("$name, a body without end", UNSIZED, endless, call),
                 )
             }
     }
