Give up the oldest of the answers that keep equally much

Cause: which of several equal shares was the largest depended on the identity hashes that order a HashSet.

Change: the shares stand in the order in which they began.

--- a/bergamotwind-core/src/main/kotlin/dev/bergamotwind/core/AnswerMemory.kt
+++ b/bergamotwind-core/src/main/kotlin/dev/bergamotwind/core/AnswerMemory.kt
@@ -6,7 +6,8 @@
  * threads.
  */
 public class AnswerMemory(private val limitBytes: Long) {
-    private val shares = HashSet<Share>()
+    // In the order in which they began, so that of equal ones the oldest is given up.
+    private val shares = LinkedHashSet<Share>()
 
     /** Bytes that all answers keep now. */
     @get:Synchronized
