Do not write lengths and encodings of broken answers to the log

The reason of attempt.failed repeated a malformed Content-Length or Transfer-Encoding, which may have 32 KB. It now says only what is wrong.

--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/AnswerHead.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/AnswerHead.kt
@@ -24,15 +24,16 @@
     /** Why the end of the body cannot be told, or null. */
     val fault: String?
         get() = when {
+            // What the target wrote is not repeated, since it is as long as it likes.
             status == SWITCHING_PROTOCOLS -> "the answer switches to a protocol that was not asked for"
 
-            lengths.isNotEmpty() && length == null -> "the length ${lengths.joinToString()} is not one number"
+            lengths.isNotEmpty() && length == null -> "the length is not one number"
 
             isChunked && lengths.isNotEmpty() -> "the answer has both a length and chunks"
 
             isChunked && !hasChunks -> "the answer has chunks, and a version without them"
 
-            isChunked && encodings.singleOrNull()?.lowercase() != CHUNKED -> "the encoding $encodings is not supported"
+            isChunked && encodings.singleOrNull()?.lowercase() != CHUNKED -> "the encoding of the body is not supported"
 
             hasNoBody && status != NOT_MODIFIED && (isChunked || (length ?: 0) > 0) ->
                 "an answer of status $status states a body"
