Close a caller's connection when a part of its answer cannot be written

A write that fails for want of direct memory leaves the channel open: Netty closes it only after an I/O error. The answer would lack a part, or never come, on a connection that is kept. Found by reading; no test shows it, since a test cannot exhaust direct memory without harm to others.

--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/ServerExchange.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/ServerExchange.kt
@@ -88,6 +88,8 @@
     /** Writes [message] with [bodyBytes] bytes of the body, which count as kept until the kernel has taken them. */
     private fun send(message: Any, bodyBytes: Int): ChannelFuture {
         val sent = context.writeAndFlush(message)
+        // A write that fails for want of memory leaves the connection open, with a part of the answer missing.
+        sent.addListener(ChannelFutureListener { if (!it.isSuccess) context.close() })
         if (sent.isDone) return sent
         val kept = bodyBytes + WRITE_OVERHEAD_BYTES
         unsentBytes += kept
