--- a/bergamotwind-transport/src/test/kotlin/dev/bergamotwind/transport/AnswerPieceSpec.kt
+++ b/bergamotwind-transport/src/test/kotlin/dev/bergamotwind/transport/AnswerPieceSpec.kt
@@ -1,11 +1,12 @@
 package dev.bergamotwind.transport
 
 import dev.bergamotwind.api.Header
+import dev.bergamotwind.transport.TextAnswer.Companion.BROKEN
+import dev.bergamotwind.transport.TextAnswer.Companion.NOT_SENT
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
-import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 
 /** Guards against a piece of a second answer that is joined with the true answer to the next request. */
@@ -21,32 +22,6 @@
 
     data class PieceCase(val timing: Timing, val second: String, val trueStatus: String)
 
-    private class Answer : AnswerListener {
-        val end = CompletableFuture<String>()
-        private var status = 0
-        private val body = StringBuilder()
-
-        override fun head(status: Int, headers: List<Header>) {
-            this.status = status
-        }
-
-        override fun bytes(bytes: ByteArray) {
-            body.append(bytes.decodeToString())
-        }
-
-        override fun complete() {
-            end.complete("$status $body")
-        }
-
-        override fun notSent(reason: String) {
-            end.complete(NOT_SENT)
-        }
-
-        override fun broken(reason: String) {
-            end.complete(BROKEN)
-        }
-    }
-
     // Guards against a success that is passed on for a request whose target answered with a failure: the first line of
     // the piece becomes that of the true answer. Every length of the piece is tried.
     @ParameterizedTest
@@ -76,7 +51,7 @@
     }
 
     private fun send(server: RawServer, id: String): String {
-        val answer = Answer()
+        val answer = TextAnswer()
         val name = Header(ID, id)
         val request = OutgoingRequest("GET", "/", listOf(name), ByteArray(0), 1_000, 5_000, echoedHeader = name)
         loop.execute { dialer.send(server.address, request, answer) }
@@ -85,8 +60,6 @@
 
     companion object {
         private const val ID = "X-Id"
-        private const val BROKEN = "broken"
-        private const val NOT_SENT = "not sent"
         private const val IDLE_MILLIS = 10L
 
         private fun answer(id: String?, status: String, body: String): String {
--- a/bergamotwind-transport/src/test/kotlin/dev/bergamotwind/transport/BrokenAnswerSpec.kt
+++ b/bergamotwind-transport/src/test/kotlin/dev/bergamotwind/transport/BrokenAnswerSpec.kt
@@ -2,11 +2,11 @@
 
 import dev.bergamotwind.api.Header
 import dev.bergamotwind.test.MalformedAnswers
+import dev.bergamotwind.transport.TextAnswer.Companion.BROKEN
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
-import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 
 /** Guards against bytes that are no answer, or only a part of one, and reach a client as a whole answer. */
@@ -17,32 +17,6 @@
     @AfterEach
     fun close() = loop.close()
 
-    private class Answer : AnswerListener {
-        val end = CompletableFuture<String>()
-        private var status = 0
-        private val body = StringBuilder()
-
-        override fun head(status: Int, headers: List<Header>) {
-            this.status = status
-        }
-
-        override fun bytes(bytes: ByteArray) {
-            body.append(bytes.decodeToString())
-        }
-
-        override fun complete() {
-            end.complete("$status $body")
-        }
-
-        override fun notSent(reason: String) {
-            end.complete("not sent")
-        }
-
-        override fun broken(reason: String) {
-            end.complete(BROKEN)
-        }
-    }
-
     data class UploadCase(val name: String, val expected: String, val bytes: Int, val act: (RawConnection) -> Unit) {
         override fun toString() = "$name, $bytes bytes"
     }
@@ -91,13 +65,12 @@
     }
 
     private fun answer(server: RawServer, method: String, body: ByteArray = ByteArray(0)): String {
-        val answer = Answer()
+        val answer = TextAnswer()
         loop.execute { dialer.send(server.address, OutgoingRequest(method, "/", HOST, body, 1_000), answer) }
         return answer.end.get(5, TimeUnit.SECONDS)
     }
 
     companion object {
-        private const val BROKEN = "broken"
 
         /** The kernel takes the smaller one as a whole unless its buffer is limited, and never the larger one. */
         private val uploadBytes = listOf(3_500_000, 32_000_000)
