--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/AnswerChecks.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/AnswerChecks.kt
@@ -7,8 +7,8 @@
 public object AnswerChecks {
     /**
      * Adds the check to the [pipeline] of a client that speaks HTTP/1.1 without TLS by an
-     * [io.netty.handler.codec.http.HttpClientCodec], and sends no HEAD requests. The pipeline needs the codec
-     * once it is connected.
+     * [io.netty.handler.codec.http.HttpClientCodec], which the pipeline needs once it is connected. The client may send
+     * HEAD requests only on connections that it does not keep.
      */
     public fun addTo(pipeline: ChannelPipeline) {
         pipeline.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
