Permit half-closure only where the check of answers handles it

A command line's connection with TLS was half-closed without the filter that closes it, so that a node that ends its stream left it open. Found by reading.

No test plays an end of the stream under TLS.

--- a/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/AnswerChecks.kt
+++ b/bergamotwind-transport/src/main/kotlin/dev/bergamotwind/transport/AnswerChecks.kt
@@ -1,6 +1,5 @@
 package dev.bergamotwind.transport
 
-import io.netty.channel.ChannelOption
 import io.netty.channel.ChannelPipeline
 
 /** The check of answers that [HttpDialer] makes, for the connections of other clients. */
@@ -11,7 +10,6 @@
      * HEAD requests only on connections that it does not keep.
      */
     public fun addTo(pipeline: ChannelPipeline) {
-        pipeline.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
-        pipeline.addFirst(CodecGuard())
+        pipeline.addFirst(AnswerCheckInstaller())
     }
 }
