Add review case 14: refusals of pipelined requests overflow the stack

Cause: ServerConnection.answered() calls next(), and a request that is refused at once is answered within that call. So the depth of the stack grows with the refused requests in a row, and -Xss256k is enough for about 60 of them. After the StackOverflowError nobody goes on with the connection.

Change: the case as a script. Nothing is fixed.

--- a/review/stand-ins-3/Case14.java
+++ b/review/stand-ins-3/Case14.java
@@ -1,53 +1,36 @@
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A machine freezes for four seconds under load and wakes up. CONFIG: in steady state it gets 20 or more requests on a
- * route that was added later, and serves them less than a quarter as often as those on the first route.
+ * A tenant sends many times its usual over kept connections with pipelined requests. CONFIG: of the requests that are
+ * still unanswered at their route's `timeoutMs`, more than half have no answer half a second later.
  */
 final class Case14 {
-    private static final int DESK_CLIENTS = 15;
-    private static final int DESK_PAUSE_MILLIS = 20;
-    private static final int DESK_WORK_MILLIS = 100;
-    private static final int LEDGER_CLIENTS = 4;
-    private static final int LEDGER_PAUSE_MILLIS = 500;
-    private static final int LEDGER_WORK_MILLIS = 20;
-    private static final int REFUSED_PAUSE_MILLIS = 100;
-    private static final int TIMEOUT_MILLIS = 10_000;
-    private static final int SLOTS = 6;
-    private static final long RAMP_MILLIS = 8_000;
-    private static final long FREEZE_AT_MILLIS = 14_000;
-    private static final long FREEZE_MILLIS = 4_000;
-    private static final long SETTLE_MILLIS = 8_000;
-    private static final long STEADY_MILLIS = 14_000;
+    private static final int CONNECTIONS = 4;
+    private static final int ROUNDS = 2;
+    private static final long ROUND_MILLIS = 5_000;
+    private static final int USUAL_REQUESTS = 33;
+    private static final double HOT_FACTOR = 7.5;
+    private static final int TIMEOUT_MILLIS = 4_000;
+    private static final int GRACE_MILLIS = 500;
+    private static final int WORK_MILLIS = 20;
+    private static final int UPLOAD_BYTES = 60_000;
+
+    /** The usual rate of the tenant times 1.8, in tokens; a request counts as 200. */
+    private static final int ALLOTMENT_PER_S = 9_500;
 
     private final Record record;
     private final EntryVm vm;
-    private final AtomicInteger sequence = new AtomicInteger();
-    private final Counts first = new Counts();
-    private final Counts added = new Counts();
-    private final Counts addedBefore = new Counts();
-    private volatile long freezeMillis = Long.MAX_VALUE;
-    private volatile long steadyMillis = Long.MAX_VALUE;
-    private volatile boolean isOver;
-
-    /** Requests of one route that were sent in one span of time. */
-    private static final class Counts {
-        final AtomicInteger sent = new AtomicInteger();
-        final AtomicInteger served = new AtomicInteger();
-
-        double share() {
-            return sent.get() == 0 ? 0 : (double) served.get() / sent.get();
-        }
-
-        @Override
-        public String toString() {
-            return served + " of " + sent;
-        }
-    }
+    private final AtomicInteger answered = new AtomicInteger();
+    private final AtomicInteger served = new AtomicInteger();
+    private final AtomicInteger late = new AtomicInteger();
+    private final AtomicInteger unanswered = new AtomicInteger();
+    private final AtomicInteger closed = new AtomicInteger();
 
     private Case14(Record record, EntryVm vm) {
         this.record = record;
@@ -60,23 +43,15 @@
         int exit = 2;
         try (Record record = new Record(Path.of(arguments[0]));
             Store store = new Store("127.0.14.1");
-            Replica one = new Replica("127.0.14.2", "i-desk-1", "desk", SLOTS, record, request -> DESK_WORK_MILLIS);
-            Replica two = new Replica("127.0.14.3", "i-desk-2", "desk", SLOTS, record, request -> DESK_WORK_MILLIS);
-            Replica three = new Replica("127.0.14.4", "i-desk-3", "desk", SLOTS, record, request -> DESK_WORK_MILLIS);
-            Replica ledger = new Replica("127.0.14.6", "i-ledger-1", "ledger", SLOTS, record,
-                request -> LEDGER_WORK_MILLIS);
-            EntryVm vm = new EntryVm("front-1", "127.0.14.5", store.address(), folder)) {
-            for (Replica replica : List.of(one, two, three, ledger)) {
-                store.put("servers/" + replica.id, replica.entry());
-            }
-            Map<String, Object> ledgerRoute = Sites.plainRoute("r-ledger", "/ledger/", "safe", "ledger", TIMEOUT_MILLIS);
-            Map<String, Object> deskRoute = Sites.plainRoute("r-desk", "/desk/", "unsafe", "desk", TIMEOUT_MILLIS);
-            List<?> services = List.of(Sites.plainService("ledger"), Sites.plainService("desk"));
-            List<?> tenants = List.of(Sites.tenant("bodyshop", "key-1"));
-            store.put("op/config", Sites.configuration(7, List.of(ledgerRoute), services, tenants));
+            Replica replica = new Replica("127.0.14.2", "i-stock", "stock", 64, record, request -> WORK_MILLIS);
+            EntryVm vm = new EntryVm("front-1", "127.0.14.3", store.address(), folder)) {
+            store.put("servers/" + replica.id, replica.entry());
+            Map<String, Object> tenant = Sites.tenant("bodyshop", "key-1");
+            tenant.putAll(Json.of("ratePerS", ALLOTMENT_PER_S, "burst", ALLOTMENT_PER_S));
+            store.put("op/config", Sites.configuration(7,
+                List.of(Sites.plainRoute("r-stock", "/stock/", "safe", "stock", TIMEOUT_MILLIS)),
+                List.of(Sites.plainService("stock")), List.of(tenant, Sites.tenant("garage", "key-2"))));
             vm.start();
-            store.put("op/config", Sites.configuration(8, List.of(ledgerRoute, deskRoute), services, tenants));
-            Thread.sleep(3_000);
             exit = new Case14(record, vm).run(hasTrouble);
         } catch (Exception failure) {
             failure.printStackTrace();
@@ -87,80 +62,70 @@
     }
 
     private int run(boolean hasTrouble) throws Exception {
-        for (int i = 0; i < DESK_CLIENTS; i++) {
-            start("/desk/x", addedBefore, added, DESK_PAUSE_MILLIS, RAMP_MILLIS * i / DESK_CLIENTS, i);
-        }
-        for (int i = 0; i < LEDGER_CLIENTS; i++) {
-            start("/ledger/x", null, first, LEDGER_PAUSE_MILLIS, 0, DESK_CLIENTS + i);
+        int requests = hasTrouble ? (int) (USUAL_REQUESTS * HOT_FACTOR) : USUAL_REQUESTS;
+        if (hasTrouble) record.add("trouble", null, "the tenant sends " + HOT_FACTOR + " times its usual");
+        List<Thread> clients = new ArrayList<>();
+        for (int i = 0; i < CONNECTIONS; i++) {
+            int index = i;
+            clients.add(Http.daemon("client", () -> {
+                pause(index * ROUND_MILLIS / CONNECTIONS);
+                for (int round = 0; round < ROUNDS; round++) sendRound("c" + index + "-" + round, requests);
+            }));
         }
-        Thread.sleep(FREEZE_AT_MILLIS);
-        freezeMillis = record.millis();
-        if (hasTrouble) signal("STOP");
-        Thread.sleep(FREEZE_MILLIS);
-        if (hasTrouble) signal("CONT");
-        Thread.sleep(SETTLE_MILLIS);
-        steadyMillis = record.millis();
-        Thread.sleep(STEADY_MILLIS);
-        isOver = true;
-        String summary = "added route before: " + addedBefore + " served; in steady state, first route: " + first
-            + ", added route: " + added + "; ready " + vm.isReady();
+        for (Thread client : clients) client.join();
+        String summary = answered + " answered, " + served + " of them with 200; " + closed
+            + " ended by the close of their connection; unanswered at their timeout: " + (late.get() + unanswered.get())
+            + ", and half a second later: " + unanswered + "; ready " + vm.isReady();
         record.add("summary", null, summary);
         System.out.println(summary);
-        if (addedBefore.share() < 0.9 || first.share() == 0 || added.sent.get() < 20) return 2;
-        return added.share() < first.share() / 4 ? 1 : 0;
+        if (served.get() == 0) return 2;
+        return unanswered.get() >= 8 && unanswered.get() > late.get() ? 1 : 0;
     }
 
-    private void signal(String name) throws Exception {
-        record.add("trouble", null, "SIG" + name + " to the entry process");
-        new ProcessBuilder("kill", "-" + name, String.valueOf(vm.pid())).start().waitFor();
-    }
-
-    private void start(String path, Counts before, Counts steady, int pauseMillis, long delayMillis, int seed) {
-        Random random = new Random(seed);
-        Http.daemon("client", () -> {
-            try {
-                // The load grows slowly, so that the first requests do not meet a cold process together.
-                Thread.sleep(delayMillis);
-                Client connection = null;
-                while (!isOver) {
-                    if (connection == null) connection = new Client(vm);
-                    Client.Result result = send(connection, path, before, steady);
-                    if (result.status() == 0 || "close".equals(result.answer().headers.get("Connection"))) {
-                        connection.close();
-                        connection = null;
-                    }
-                    long pause = result.status() == 200 ? pauseMillis : REFUSED_PAUSE_MILLIS + retryAfterMillis(result);
-                    Thread.sleep(pause / 2 + random.nextInt((int) pause));
-                }
-            } catch (Exception failure) {
-                record.add("client", null, "a client has failed: " + failure);
+    /** Uploads a document, and then asks for the stock of many parts at once on the same connection. */
+    private void sendRound(String name, int requests) {
+        long startMillis = record.millis();
+        try (Client client = new Client(vm)) {
+            client.send("POST", Sites.HOST, "/stock/list", name + "-list", new byte[UPLOAD_BYTES], "Credential", "key-2",
+                "Deadline-Ms", String.valueOf(TIMEOUT_MILLIS));
+            client.receive(TIMEOUT_MILLIS);
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            for (int i = 0; i < requests; i++) {
+                all.write(("GET /stock/part HTTP/1.1\r\nHost: " + Sites.HOST + "\r\nRequest-Id: " + name + "-" + i
+                    + "\r\nCredential: key-1\r\nDeadline-Ms: " + TIMEOUT_MILLIS + "\r\n\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+                record.add("sent", name + "-" + i, "GET /stock/part");
             }
-        });
+            client.socket().getOutputStream().write(all.toByteArray());
+            long sentMillis = record.millis();
+            readAnswers(client, name, requests, sentMillis);
+        } catch (Exception failure) {
+            record.add("client", name, "a client has failed: " + failure);
+        }
+        pause(startMillis + ROUND_MILLIS - record.millis());
     }
 
-    private static long retryAfterMillis(Client.Result result) {
-        String seconds = result.status() == 0 ? null : result.answer().headers.get("Retry-After");
-        return seconds == null ? 0 : (long) (Double.parseDouble(seconds) * 1_000);
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(Math.max(0, millis));
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
     }
 
-    private Client.Result send(Client connection, String path, Counts before, Counts steady) {
-        String id = String.format("%08x", sequence.incrementAndGet());
-        long now = record.millis();
-        Counts counts = null;
-        if (now >= steadyMillis) counts = steady;
-        else if (freezeMillis == Long.MAX_VALUE) counts = before;
-        record.add("sent", id, "POST " + path);
-        Client.Result result;
-        try {
-            connection.send("POST", Sites.HOST, path, id, new byte[0], "Credential", "key-1", "Deadline-Ms",
-                String.valueOf(TIMEOUT_MILLIS));
-            result = connection.receive(TIMEOUT_MILLIS + 500);
-        } catch (Exception failure) {
-            result = new Client.Result(0, failure.toString(), null);
+    private void readAnswers(Client client, String name, int requests, long sentMillis) {
+        for (int i = 0; i < requests; i++) {
+            long left = sentMillis + TIMEOUT_MILLIS + GRACE_MILLIS - record.millis();
+            Client.Result result = left > 0 ? client.receive((int) left) : new Client.Result(0, "no answer", null);
+            record.add("answer", name + "-" + i, result.status() + " " + result.text().strip());
+            if (result.status() == 0) {
+                boolean isClosed = record.millis() < sentMillis + TIMEOUT_MILLIS;
+                (isClosed ? closed : unanswered).addAndGet(requests - i);
+                return;
+            }
+            answered.incrementAndGet();
+            if (result.status() == 200) served.incrementAndGet();
+            if (record.millis() > sentMillis + TIMEOUT_MILLIS) late.incrementAndGet();
         }
-        record.add("answer", id, result.status() + " " + result.text().strip());
-        if (counts != null) counts.sent.incrementAndGet();
-        if (counts != null && result.status() == 200) counts.served.incrementAndGet();
-        return result;
     }
 }
