--- a/review/stand-ins-3/Case14.java
+++ b/review/stand-ins-3/Case11.java
@@ -10,7 +10,7 @@
  * A tenant sends many times its usual over kept connections with pipelined requests. CONFIG: of the requests that are
  * still unanswered at their route's `timeoutMs`, more than half have no answer half a second later.
  */
-final class Case14 {
+final class Case11 {
     private static final int CONNECTIONS = 4;
     private static final int ROUNDS = 2;
     private static final long ROUND_MILLIS = 5_000;
@@ -32,19 +32,19 @@
     private final AtomicInteger unanswered = new AtomicInteger();
     private final AtomicInteger closed = new AtomicInteger();
 
-    private Case14(Record record, EntryVm vm) {
+    private Case11(Record record, EntryVm vm) {
         this.record = record;
         this.vm = vm;
     }
 
     public static void main(String[] arguments) throws Exception {
         boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
-        Path folder = EntryVm.temporaryFolder("case14");
+        Path folder = EntryVm.temporaryFolder("case11");
         int exit = 2;
         try (Record record = new Record(Path.of(arguments[0]));
-            Store store = new Store("127.0.14.1");
-            Replica replica = new Replica("127.0.14.2", "i-stock", "stock", 64, record, request -> WORK_MILLIS);
-            EntryVm vm = new EntryVm("front-1", "127.0.14.3", store.address(), folder)) {
+            Store store = new Store("127.0.11.1");
+            Replica replica = new Replica("127.0.11.2", "i-stock", "stock", 64, record, request -> WORK_MILLIS);
+            EntryVm vm = new EntryVm("front-1", "127.0.11.3", store.address(), folder)) {
             store.put("servers/" + replica.id, replica.entry());
             Map<String, Object> tenant = Sites.tenant("bodyshop", "key-1");
             tenant.putAll(Json.of("ratePerS", ALLOTMENT_PER_S, "burst", ALLOTMENT_PER_S));
@@ -52,7 +52,7 @@
                 List.of(Sites.plainRoute("r-stock", "/stock/", "safe", "stock", TIMEOUT_MILLIS)),
                 List.of(Sites.plainService("stock")), List.of(tenant, Sites.tenant("garage", "key-2"))));
             vm.start();
-            exit = new Case14(record, vm).run(hasTrouble);
+            exit = new Case11(record, vm).run(hasTrouble);
         } catch (Exception failure) {
             failure.printStackTrace();
         } finally {
