--- a/review/stand-ins-3/Case11.java
+++ b/review/stand-ins-3/Case11.java
@@ -14,8 +14,10 @@
     private static final int CONNECTIONS = 4;
     private static final int ROUNDS = 2;
     private static final long ROUND_MILLIS = 5_000;
+    private static final long CONTACT_MILLIS = 4_000;
     private static final int USUAL_REQUESTS = 33;
-    private static final double HOT_FACTOR = 7.5;
+    private static final double HOT_FACTOR = 6.0;
+    private static final int HOT_REQUESTS = (int) (USUAL_REQUESTS * HOT_FACTOR);
     private static final int TIMEOUT_MILLIS = 4_000;
     private static final int GRACE_MILLIS = 500;
     private static final int WORK_MILLIS = 20;
@@ -45,13 +47,14 @@
             Store store = new Store("127.0.11.1");
             Replica replica = new Replica("127.0.11.2", "i-stock", "stock", 64, record, request -> WORK_MILLIS);
             EntryVm vm = new EntryVm("front-1", "127.0.11.3", store.address(), folder)) {
-            store.put("servers/" + replica.id, replica.entry());
+            store.register("servers/" + replica.id, replica::entry);
             Map<String, Object> tenant = Sites.tenant("bodyshop", "key-1");
             tenant.putAll(Json.of("ratePerS", ALLOTMENT_PER_S, "burst", ALLOTMENT_PER_S));
             store.put("op/config", Sites.configuration(7,
                 List.of(Sites.plainRoute("r-stock", "/stock/", "safe", "stock", TIMEOUT_MILLIS)),
                 List.of(Sites.plainService("stock")), List.of(tenant, Sites.tenant("garage", "key-2"))));
             vm.start();
+            Thread.sleep(CONTACT_MILLIS + 1_000);
             exit = new Case11(record, vm).run(hasTrouble);
         } catch (Exception failure) {
             failure.printStackTrace();
@@ -62,13 +65,13 @@
     }
 
     private int run(boolean hasTrouble) throws Exception {
-        int requests = hasTrouble ? (int) (USUAL_REQUESTS * HOT_FACTOR) : USUAL_REQUESTS;
         if (hasTrouble) record.add("trouble", null, "the tenant sends " + HOT_FACTOR + " times its usual");
         List<Thread> clients = new ArrayList<>();
         for (int i = 0; i < CONNECTIONS; i++) {
             int index = i;
             clients.add(Http.daemon("client", () -> {
                 pause(index * ROUND_MILLIS / CONNECTIONS);
+                int requests = hasTrouble ? HOT_REQUESTS : USUAL_REQUESTS;
                 for (int round = 0; round < ROUNDS; round++) sendRound("c" + index + "-" + round, requests);
             }));
         }
@@ -119,7 +122,7 @@
             Client.Result result = left > 0 ? client.receive((int) left) : new Client.Result(0, "no answer", null);
             record.add("answer", name + "-" + i, result.status() + " " + result.text().strip());
             if (result.status() == 0) {
-                boolean isClosed = record.millis() < sentMillis + TIMEOUT_MILLIS;
+                boolean isClosed = left > 0 && record.millis() < sentMillis + TIMEOUT_MILLIS + GRACE_MILLIS - 20;
                 (isClosed ? closed : unanswered).addAndGet(requests - i);
                 return;
             }
--- a/review/stand-ins-3/Case12.java
+++ b/review/stand-ins-3/Case12.java
@@ -29,7 +29,7 @@
             Store store = new Store("127.0.12.1");
             Replica replica = new Replica("127.0.12.2", "i-stock", "stock", 64, record, request -> WORK_MILLIS);
             EntryVm vm = new EntryVm("front-1", "127.0.12.3", store.address(), folder)) {
-            store.put("servers/" + replica.id, replica.entry());
+            store.register("servers/" + replica.id, replica::entry);
             var route = Sites.plainRoute("r-stock", "/stock/", "safe", "stock", TIMEOUT_MILLIS);
             route.put("targetLatencyMs", 1_000);
             store.put("op/config", Sites.configuration(7, List.of(route),
--- a/review/stand-ins-3/Case13.java
+++ b/review/stand-ins-3/Case13.java
@@ -22,11 +22,12 @@
             Store store = new Store("127.0.13.1");
             Replica desk = new Replica("127.0.13.2", "i-desk", "desk", 6, record, request -> 20);
             EntryVm vm = new EntryVm("front-1", "127.0.13.3", store.address(), folder)) {
-            store.put("servers/" + desk.id, desk.entry());
+            store.register("servers/" + desk.id, desk::entry);
             store.put("op/config", Sites.configuration(7,
                 List.of(Sites.plainRoute("r-desk", "/desk/", "unsafe", "desk", TIMEOUT_MILLIS)),
                 List.of(Sites.plainService("desk")), List.of(Sites.tenant("bodyshop", "key-1"))));
             vm.start();
+            Thread.sleep(5_000);
             exit = run(record, vm, hasTrouble);
         } catch (Exception failure) {
             failure.printStackTrace();
--- a/review/stand-ins-3/Case14.java
+++ b/review/stand-ins-3/Case14.java
@@ -19,7 +19,7 @@
     private static final int TIMEOUT_MILLIS = 8_000;
     private static final int ALLOTMENT_PER_S = 100_000;
     private static final long WARM_UP_MILLIS = 6_000;
-    private static final long SETTLE_MILLIS = 6_000;
+    private static final long SETTLE_MILLIS = 10_000;
     private static final long STEADY_MILLIS = 15_000;
     private static final String USUAL = "500,100";
     private static final String LARGE = "500,2147483647";
@@ -60,14 +60,16 @@
         int exit = 2;
         try (Record record = new Record(Path.of(arguments[0]));
             Store store = new Store("127.0.14.1");
-            Replica ledger = new Replica("127.0.14.2", "i-ledger", "ledger", 8, record, request -> 20);
+            Replica ledger = new Replica("127.0.14.2", "i-ledger", "ledger", 16, record, request -> 20);
             Http.Server engine = new Http.Server("127.0.14.3", (request, exchange) -> serve(record, request, exchange));
             EntryVm vm = new EntryVm("front-1", "127.0.14.4", store.address(), folder)) {
-            store.put("servers/" + ledger.id, ledger.entry());
-            store.put("servers/i-engine", Json.of("service", "models", "address", engine.hostAndPort(), "zone", "zone-a",
-                "version", "v1", "slots", 64, "state", "ready", "coldRemainingMs", 0, "stage", "both", "models", models(),
-                "atHand", Json.of("inMemory", List.of(), "onDisk", List.of()), "sequence", 1,
-                "born", System.currentTimeMillis()));
+            store.register("servers/" + ledger.id, ledger::entry);
+            long born = System.currentTimeMillis();
+            AtomicInteger beats = new AtomicInteger();
+            store.register("servers/i-engine", () -> Json.of("service", "models", "address", engine.hostAndPort(),
+                "zone", "zone-a", "version", "v1", "slots", 64, "state", "ready", "coldRemainingMs", 0, "stage", "both",
+                "models", models(), "atHand", Json.of("inMemory", List.of(), "onDisk", List.of()),
+                "sequence", beats.incrementAndGet(), "born", born));
             store.put("op/config", configuration(7));
             vm.start();
             store.put("op/config", configuration(8));
--- a/review/stand-ins-3/Store.java
+++ b/review/stand-ins-3/Store.java
@@ -8,9 +8,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Supplier;
 
 /** The platform's metadata store: items, leases, watches and conditional writes, all in memory. */
 final class Store implements AutoCloseable {
+    private static final long HEARTBEAT_MILLIS = 1_200;
+
     private record Item(String key, String value, long revision, long created, long lease) {
         Map<String, Object> json() {
             return Json.of("key", key, "value", value, "revision", revision, "created", created, "lease", lease);
@@ -45,6 +48,21 @@
         put(key, Base64.getEncoder().encodeToString(Json.write(value).getBytes(StandardCharsets.UTF_8)), 0);
     }
 
+    /** Writes an item as a server does, and again at every heartbeat. */
+    void register(String key, Supplier<Object> entry) {
+        put(key, entry.get());
+        Http.daemon("heartbeat", () -> {
+            try {
+                while (true) {
+                    Thread.sleep(HEARTBEAT_MILLIS);
+                    put(key, entry.get());
+                }
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
     /** Removes an item as the operator or a server does. */
     synchronized void remove(String key) {
         if (items.remove(key) == null) return;
@@ -112,7 +130,7 @@
         else if (path.equals("/kv-lease")) grant(Json.object(Json.parse(request.text())), exchange);
         else if (path.startsWith("/kv-keep/")) keep(lastNumber(path), exchange);
         else if (path.startsWith("/kv-lease-end/")) end(lastNumber(path), exchange);
-        else exchange.json(404, Json.of());
+        else exchange.json(404, Json.of(), "Store-Era", "1");
     }
 
     private static long lastNumber(String path) {
@@ -126,7 +144,7 @@
             answer = item == null ? null : item.json();
             if (answer != null) answer.put("storeRevision", revision);
         }
-        exchange.json(answer == null ? 404 : 200, answer == null ? Json.of() : answer);
+        exchange.json(answer == null ? 404 : 200, answer == null ? Json.of() : answer, "Store-Era", "1");
     }
 
     private void readRange(Map<String, String> query, Http.Exchange exchange) throws IOException {
@@ -144,7 +162,7 @@
             }
             answer = Json.of("items", found, "hasMore", hasMore, "storeRevision", revision);
         }
-        exchange.json(200, answer);
+        exchange.json(200, answer, "Store-Era", "1");
     }
 
     private void watch(Map<String, String> query, Http.Exchange exchange) throws Exception {
@@ -166,7 +184,7 @@
                 wait(wait);
             }
         }
-        exchange.json(200, answer);
+        exchange.json(200, answer, "Store-Era", "1");
     }
 
     private void write(Map<String, Object> call, Http.Exchange exchange) throws IOException {
@@ -203,7 +221,7 @@
                 answer = Json.of("revision", revision);
             }
         }
-        exchange.json(status, answer);
+        exchange.json(status, answer, "Store-Era", "1");
     }
 
     private void grant(Map<String, Object> call, Http.Exchange exchange) throws IOException {
@@ -215,7 +233,7 @@
             lease.endMillis = System.nanoTime() / 1_000_000 + lease.ttlMillis;
             leases.put(id, lease);
         }
-        exchange.json(200, Json.of("lease", id, "ttlMs", lease.ttlMillis));
+        exchange.json(200, Json.of("lease", id, "ttlMs", lease.ttlMillis), "Store-Era", "1");
     }
 
     private void keep(long id, Http.Exchange exchange) throws IOException {
@@ -224,15 +242,15 @@
             lease = leases.get(id);
             if (lease != null) lease.endMillis = System.nanoTime() / 1_000_000 + lease.ttlMillis;
         }
-        if (lease == null) exchange.json(404, Json.of());
-        else exchange.json(200, Json.of("ttlMs", lease.ttlMillis));
+        if (lease == null) exchange.json(404, Json.of(), "Store-Era", "1");
+        else exchange.json(200, Json.of("ttlMs", lease.ttlMillis), "Store-Era", "1");
     }
 
     private void end(long id, Http.Exchange exchange) throws IOException {
         synchronized (this) {
             endLease(id);
         }
-        exchange.json(200, new LinkedHashMap<String, Object>());
+        exchange.json(200, new LinkedHashMap<String, Object>(), "Store-Era", "1");
     }
 
     @Override
