Start the process of case 11 again when it ends by itself

The test left it down, while the platform starts such a process again after a short delay.

Change: Case11 starts the process again half a second after it has ended by itself, and says how often that was. The check is unchanged: requests whose connections end are not counted as unanswered.

--- a/review/stand-ins-3/Case11.java
+++ b/review/stand-ins-3/Case11.java
@@ -22,6 +22,7 @@
     private static final int GRACE_MILLIS = 500;
     private static final int WORK_MILLIS = 20;
     private static final int UPLOAD_BYTES = 60_000;
+    private static final long RESTART_MILLIS = 500;
 
     /** The usual rate of the tenant times 1.8, in tokens; a request counts as 200. */
     private static final int ALLOTMENT_PER_S = 9_500;
@@ -33,6 +34,8 @@
     private final AtomicInteger late = new AtomicInteger();
     private final AtomicInteger unanswered = new AtomicInteger();
     private final AtomicInteger closed = new AtomicInteger();
+    private final AtomicInteger ends = new AtomicInteger();
+    private volatile boolean isOver;
 
     private Case11(Record record, EntryVm vm) {
         this.record = record;
@@ -65,6 +68,7 @@
     }
 
     private int run(boolean hasTrouble) throws Exception {
+        Thread platform = Http.daemon("platform", this::restartWhenEnded);
         if (hasTrouble) record.add("trouble", null, "the tenant sends " + HOT_FACTOR + " times its usual");
         List<Thread> clients = new ArrayList<>();
         for (int i = 0; i < CONNECTIONS; i++) {
@@ -76,15 +80,36 @@
             }));
         }
         for (Thread client : clients) client.join();
+        isOver = true;
+        platform.join();
         String summary = answered + " answered, " + served + " of them with 200; " + closed
             + " ended by the close of their connection; unanswered at their timeout: " + (late.get() + unanswered.get())
-            + ", and half a second later: " + unanswered + "; ready " + vm.isReady();
+            + ", and half a second later: " + unanswered + "; ready " + vm.isReady() + "; the process has ended by itself "
+            + ends + " times";
         record.add("summary", null, summary);
         System.out.println(summary);
         if (served.get() == 0) return 2;
         return unanswered.get() >= 8 && unanswered.get() > late.get() ? 1 : 0;
     }
 
+    /** The platform starts a process that ends by itself again, after a short delay. */
+    private void restartWhenEnded() {
+        try {
+            while (!isOver) {
+                if (!vm.isAlive()) {
+                    ends.incrementAndGet();
+                    record.add("ended", null, vm.name + " ended by itself with " + vm.exitValue());
+                    Thread.sleep(RESTART_MILLIS);
+                    vm.start();
+                    record.add("started", null, vm.name + " was started again and is ready");
+                }
+                Thread.sleep(50);
+            }
+        } catch (Exception failure) {
+            record.add("platform", null, "the start has failed: " + failure);
+        }
+    }
+
     /** Uploads a document, and then asks for the stock of many parts at once on the same connection. */
     private void sendRound(String name, int requests) {
         long startMillis = record.millis();
