--- a/review/stand-ins-3/Case11.java
+++ b/review/stand-ins-3/Case11.java
@@ -20,6 +20,7 @@
     private static final int HOT_REQUESTS = (int) (USUAL_REQUESTS * HOT_FACTOR);
     private static final int TIMEOUT_MILLIS = 4_000;
     private static final int GRACE_MILLIS = 500;
+    private static final int DEADLINE_MILLIS = 6_000;
     private static final int WORK_MILLIS = 20;
     private static final int UPLOAD_BYTES = 60_000;
     private static final long RESTART_MILLIS = 500;
@@ -114,13 +115,13 @@
     private void sendRound(String name, int requests) {
         long startMillis = record.millis();
         try (Client client = new Client(vm)) {
-            client.send("POST", Sites.HOST, "/stock/list", name + "-list", new byte[UPLOAD_BYTES], "Credential", "key-2",
-                "Deadline-Ms", String.valueOf(TIMEOUT_MILLIS));
-            client.receive(TIMEOUT_MILLIS);
+            client.send("POST", Sites.HOST, "/stock/list", name + "-list", new byte[UPLOAD_BYTES], "Credential", "key-1",
+                "Deadline-Ms", String.valueOf(DEADLINE_MILLIS));
+            client.receive(DEADLINE_MILLIS);
             ByteArrayOutputStream all = new ByteArrayOutputStream();
             for (int i = 0; i < requests; i++) {
                 all.write(("GET /stock/part HTTP/1.1\r\nHost: " + Sites.HOST + "\r\nRequest-Id: " + name + "-" + i
-                    + "\r\nCredential: key-1\r\nDeadline-Ms: " + TIMEOUT_MILLIS + "\r\n\r\n")
+                    + "\r\nCredential: key-1\r\nDeadline-Ms: " + DEADLINE_MILLIS + "\r\n\r\n")
                     .getBytes(StandardCharsets.ISO_8859_1));
                 record.add("sent", name + "-" + i, "GET /stock/part");
             }
--- a/review/stand-ins-3/Case12.java
+++ b/review/stand-ins-3/Case12.java
@@ -73,7 +73,7 @@
             int index = i;
             readers.add(Http.daemon("reader", () -> {
                 for (int k = 0; k < REQUESTS; k++) {
-                    Client.Result result = clients.get(index).receive(TIMEOUT_MILLIS + 1_000);
+                    Client.Result result = clients.get(index).receive(TIMEOUT_MILLIS);
                     String head = result.answer() == null ? "" : " Connection: " + result.answer().headers.get("Connection");
                     record.add("answer", "request-" + index + "-" + k, result.status() + " " + result.text().strip() + head);
                     if (result.status() == 0) {
--- a/review/stand-ins-3/Case14.java
+++ b/review/stand-ins-3/Case14.java
@@ -21,6 +21,7 @@
     private static final long WARM_UP_MILLIS = 6_000;
     private static final long SETTLE_MILLIS = 10_000;
     private static final long STEADY_MILLIS = 15_000;
+    private static final String ENGINE_ID = "i-engine";
     private static final String USUAL = "500,100";
     private static final String LARGE = "500,2147483647";
 
@@ -66,7 +67,7 @@
             store.register("servers/" + ledger.id, ledger::entry);
             long born = System.currentTimeMillis();
             AtomicInteger beats = new AtomicInteger();
-            store.register("servers/i-engine", () -> Json.of("service", "models", "address", engine.hostAndPort(),
+            store.register("servers/" + ENGINE_ID, () -> Json.of("service", "models", "address", engine.hostAndPort(),
                 "zone", "zone-a", "version", "v1", "slots", 64, "state", "ready", "coldRemainingMs", 0, "stage", "both",
                 "models", models(), "atHand", Json.of("inMemory", List.of(), "onDisk", List.of()),
                 "sequence", beats.incrementAndGet(), "born", born));
@@ -107,18 +108,28 @@
     private static void serve(Record record, Http.Message request, Http.Exchange exchange) throws Exception {
         String id = request.headers.get("Request-Id");
         String usage = request.headers.get("Token-Usage");
-        if (request.path().equals("/report")) {
+        String expected = request.headers.get("Expected-Instance");
+        if (expected != null && !expected.equals(ENGINE_ID)) {
+            exchange.answer(421, "text/plain", "", "Instance-Id", ENGINE_ID, "Not-Executed", "1");
+        } else if (request.path().equals("/health")) {
+            exchange.answer(200, "text/plain", "", "Instance-Id", ENGINE_ID);
+        } else if (request.path().equals("/report")) {
             exchange.json(200, Json.of("stage", "both", "models", models(), "busy", false, "sequence", 0, "queueDepth", 0,
                 "activeRequests", 0, "kvUsed", 0, "kvTotal", MEMORY_TOKENS, "handles", 0));
-        } else if (usage == null) {
-            exchange.json(409, Json.of());
+        } else if (request.path().equals("/order")) {
+            record.add("order", null, request.text());
+            boolean holds = request.text().contains("\"load\"") && request.text().contains("\"shade\"");
+            exchange.json(holds ? 200 : 400, Json.of());
+        } else if (id == null || usage == null) {
+            record.add("other", id, request.firstLine);
+            exchange.answer(400, "text/plain", "", "Not-Executed", "1");
         } else if (Long.parseLong(usage.split(",")[0]) + Long.parseLong(usage.split(",")[1]) > MEMORY_TOKENS) {
             Thread.sleep(REJECTION_MILLIS);
             record.add("rejected", id, "the engine rejects a request of " + usage + " tokens");
             exchange.answer(503, "text/plain", "full", "Request-Id", id, "Not-Executed", "1");
         } else {
             record.add("run", id, "the engine runs a request of " + usage + " tokens");
-            exchange.beginChunks(200, "text/event-stream", "Request-Id", id, "Response-Signature", "i-engine." + id,
+            exchange.beginChunks(200, "text/event-stream", "Request-Id", id, "Response-Signature", ENGINE_ID + "." + id,
                 "Weight-Versions", "1");
             for (int i = 1; i <= EVENTS; i++) {
                 exchange.chunk("id: " + i + "\ndata: token " + i + "\n\n");
@@ -196,7 +207,7 @@
                 connection.send("POST", Sites.HOST, path, id, new byte[10], "Credential", key, "Deadline-Ms",
                     String.valueOf(TIMEOUT_MILLIS));
             }
-            result = connection.receive(TIMEOUT_MILLIS + 500);
+            result = connection.receive(TIMEOUT_MILLIS);
         } catch (Exception failure) {
             result = new Client.Result(0, failure.toString(), null);
         }
