Withdraw review case 13

Cause: its client sends a body with neither a length nor chunks, while PROTOCOL.md says that bodies are sent with one of them, and no page names a client that does otherwise. Stand-ins may do only what the pages allow them.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,5 @@
 cd "$(dirname "$0")/stand-ins-3"
 rm -rf target
 mkdir target
+# Case 13 is withdrawn.
 javac -d target ./*.java
